--- /dev/null
+++ b/src/adapter/facts.cpp
@@ -0,0 +1,119 @@
+#include "adapter/facts.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "adapter/wire.h"
+
+namespace stonewing {
+namespace {
+
+using nlohmann::json;
+
+constexpr double kMillisPerSecond = 1000.0;
+
+const json& need(const json& from, const std::string& path) {
+  const json* at = &from;
+  std::size_t begin = 0;
+  while (begin <= path.size()) {
+    std::size_t end = std::min(path.find('.', begin), path.size());
+    std::string key = path.substr(begin, end - begin);
+    if (!at->is_object() || !at->contains(key)) throw wire::Malformed("the settings lack '" + path + "'");
+    at = &(*at)[key];
+    begin = end + 1;
+  }
+  return *at;
+}
+
+template <class T>
+T get(const json& from, const std::string& path) {
+  try {
+    return need(from, path).get<T>();
+  } catch (const json::exception&) {
+    throw wire::Malformed("setting '" + path + "' is of the wrong kind");
+  }
+}
+
+Millis millis(const json& from, const std::string& path) {
+  return get<double>(from, path) * kMillisPerSecond;
+}
+
+template <class T>
+T orElse(const json& from, const std::string& key, T otherwise) {
+  return from.contains(key) ? get<T>(from, key) : otherwise;
+}
+
+TrafficType trafficType(const json& row) {
+  TrafficType t;
+  t.promised = millis(row, "aim-s");
+  t.outer = millis(row, "deadline-s");
+  t.gain = orElse(row, "importance", 1.0);
+  t.lateShare = orElse(row, "late-worth", 0.0);
+  t.ordered = orElse(row, "keep-order", false);
+  std::string effect = get<std::string>(row, "effect");
+  if (effect == "safe") {
+    t.effect = Effect::pure;
+  } else if (effect == "keyed") {
+    t.effect = Effect::receipted;
+    t.repeatWindow = millis(row, "repeat-window-s");
+    std::string group = get<std::string>(row, "group");
+    // A cell is a destination: all the endpoints that a callback may go to.
+    if (group != "all" && group != "zone" && group != "cell")
+      throw wire::Malformed("setting 'group' has unknown value " + group);
+    t.zoneGroup = group == "zone";
+  } else if (effect == "unsafe") {
+    t.effect = Effect::effectful;
+  } else {
+    throw wire::Malformed("setting 'effect' has unknown value " + effect);
+  }
+  return t;
+}
+
+}  // namespace
+
+DeploymentTerms readFacts(std::string_view text) {
+  json facts = json::parse(text, nullptr, false);
+  if (facts.is_discarded() || !facts.is_object()) throw wire::Malformed("the settings are not a JSON object");
+  DeploymentTerms terms;
+  for (const json& row : get<json>(facts, "request-classes")) terms.types.push_back(trafficType(row));
+  const json family = get<json>(facts, "family-info");
+  auto apart = orElse(family, "kind-apart", std::vector<bool>{});
+  auto perCall = orElse(family, "per-call", std::vector<int>{});
+  std::size_t kinds = std::max({orElse(facts, "kinds", json::array()).size(), apart.size(), perCall.size()});
+  for (std::size_t k = 0; k < kinds; ++k) {
+    terms.kinds.push_back({k < apart.size() && apart[k], k < perCall.size() ? std::max(1, perCall[k]) : 1});
+  }
+  std::string decay = orElse<std::string>(family, "decay", "linear");
+  if (decay != "linear" && decay != "halving")
+    throw wire::Malformed("setting 'decay' has unknown value " + decay);
+  terms.decay = decay == "halving" ? Decay::halving : Decay::linear;
+  terms.slots = get<int>(family, "call-slots");
+  if (facts.contains("orgs")) {
+    for (const json& org : get<json>(facts, "orgs")) {
+      terms.tenantQuotaPerSecond.push_back(get<double>(org, "quota-per-s"));
+    }
+  }
+  terms.overShareGain = orElse(facts, "over-share-worth", 1.0);
+  const json limits = get<json>(facts, "limits");
+  terms.heldMost = get<int>(limits, "open-cap");
+  terms.launchesMost = get<int>(limits, "max-attempts");
+  terms.mayCopy = orElse(limits, "may-duplicate", false);
+  terms.mayProbe = orElse(limits, "probes", false);
+  terms.mayWithdraw = orElse(limits, "cancel", false);
+  terms.shedAdvice = orElse(limits, "retry-after", false);
+  terms.longestAdvice = orElse(limits, "max-retry-after-s", 0.0) * kMillisPerSecond;
+  terms.connectTimeout = orElse(limits, "connect-timeout-s", 0.0) * kMillisPerSecond;
+  terms.instances = std::max(1, orElse(facts, "replicas-of-me", 1));
+  terms.me = orElse(facts, "me", std::uint32_t{0});
+  terms.zone = ZoneId{orElse(facts, "zone", std::uint8_t{0})};
+  terms.weightsTold = orElse<std::string>(facts, "weight-source", "off") != "off";
+  terms.coldFrom = get<double>(facts, "rules.cold-from");
+  terms.coldSpan = millis(facts, "rules.cold-s");
+  terms.fallMultiple = get<double>(facts, "rules.fall-multiple");
+  terms.fallSpan = millis(facts, "rules.fall-s");
+  const json rules = get<json>(facts, "rules");
+  terms.orderPause = orElse(rules, "order-pause-s", 0.0) * kMillisPerSecond;
+  return terms;
+}
+
+}  // namespace stonewing
--- /dev/null
+++ b/src/adapter/host.cpp
@@ -0,0 +1,249 @@
+#include "adapter/host.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "adapter/facts.h"
+
+namespace stonewing {
+namespace {
+
+constexpr double kMillisPerSecond = 1000.0;
+constexpr std::size_t kNowhere = static_cast<std::size_t>(-1);
+
+Phase phaseOf(std::uint8_t code) {
+  switch (code) {
+    case 0:
+      return Phase::gone;
+    case 1:
+      return Phase::ready;
+    case 2:
+      return Phase::draining;
+  }
+  throw wire::Malformed("unknown phase " + std::to_string(code));
+}
+
+Ending endingOf(std::uint16_t code) {
+  switch (code) {
+    case 10:
+      return Ending::completed;
+    case 20:
+      return Ending::error;
+    case 30:
+      return Ending::full;
+    case 40:
+      return Ending::timeout;
+    case 50:
+      return Ending::connectFailed;
+    case 60:
+      return Ending::reset;
+    case 70:
+      return Ending::withdrawn;
+    case 80:
+      return Ending::notSent;
+  }
+  throw wire::Malformed("unknown completion code " + std::to_string(code));
+}
+
+double finite(double value, const char* field) {
+  if (!std::isfinite(value)) throw wire::Malformed(std::string("field ") + field + " is not a finite number");
+  return value;
+}
+
+}  // namespace
+
+template <class Step>
+void Host::guarded(std::uint32_t who, Step step) {
+  Instance& instance = instances_.at(who);
+  if (instance.failed) return;
+  try {
+    step(*instance.rules);
+  } catch (const std::exception& problem) {
+    instance.failed = true;
+    out_.failure(who, problem.what());
+  }
+}
+
+Host::Instance* Host::touch(std::uint32_t who, Millis now) {
+  auto at = instances_.find(who);
+  if (at == instances_.end()) return nullptr;
+  if (std::find(touched_.begin(), touched_.end(), who) == touched_.end()) {
+    touched_.push_back(who);
+    guarded(who, [&](Rules& rules) { rules.roundBegins(now); });
+  }
+  return &at->second;
+}
+
+void Host::create(std::uint32_t who, std::uint64_t seed, std::string_view facts, Millis now) {
+  Instance fresh;
+  fresh.rules = std::make_unique<Rules>(readFacts(facts), seed);
+  const auto parsed = nlohmann::json::parse(facts);
+  fresh.reportPlace = {kNowhere, kNowhere};
+  if (parsed.contains("report") && parsed["report"].is_object() && parsed["report"].contains("fields")) {
+    std::size_t place = 0;
+    for (const auto& field : parsed["report"]["fields"]) {
+      if (field == "x0") fresh.reportPlace[0] = place;
+      if (field == "x1") fresh.reportPlace[1] = place;
+      ++place;
+    }
+  }
+  instances_.insert_or_assign(who, std::move(fresh));
+  std::erase(touched_, who);
+  touch(who, now);
+}
+
+void Host::rows(wire::Reader& in) {
+  auto page = in.get<std::uint8_t>("page");
+  if (page >= pages_.size()) throw wire::Malformed("list number " + std::to_string(page) + " is above 15");
+  auto n = in.get<std::uint32_t>("records");
+  std::vector<Row> list;
+  for (std::uint32_t i = 0; i < n; ++i) {
+    Row row;
+    row.endpoint = in.endpoint();
+    row.kind = KindId{in.get<std::uint8_t>("generation-hw")};
+    row.destination = DestinationId{in.get<std::uint16_t>("dest")};
+    row.zone = ZoneId{in.get<std::uint8_t>("rack-zone")};
+    in.get<double>("boot-time-s");
+    row.weight = finite(in.get<float>("share"), "share");
+    row.phase = phaseOf(in.get<std::uint8_t>("phase"));
+    list.push_back(row);
+  }
+  pages_[page] = std::move(list);
+  paged_[page] = true;
+}
+
+void Host::view(wire::Reader& in, Millis now) {
+  auto who = in.get<std::uint32_t>("who");
+  in.get<std::uint32_t>("epoch");
+  auto form = in.get<std::uint8_t>("form");
+  auto page = in.get<std::uint8_t>("page");
+  if (form > 3) throw wire::Malformed("unknown form of list " + std::to_string(form));
+  Instance* instance = touch(who, now);
+  if (form == 2) return;
+  if (page >= pages_.size() || !paged_[page]) {
+    throw wire::Malformed("list " + std::to_string(page) + " was never sent");
+  }
+  if (instance == nullptr) return;
+  guarded(who, [&](Rules& rules) {
+    rules.listBegins();
+    for (const Row& r : pages_[page]) {
+      rules.listed(r.endpoint, r.destination, r.kind, r.zone, r.weight, r.phase);
+    }
+    rules.listEnds(form != 3);
+  });
+}
+
+void Host::report(wire::Reader& in, const Instance* instance, double& left, double& limit) {
+  left = limit = 0;
+  auto n = in.get<std::uint8_t>("load");
+  for (std::size_t place = 0; place < n; ++place) {
+    double value = in.get<float>("load");
+    if (instance == nullptr || !std::isfinite(value)) continue;
+    if (place == instance->reportPlace[0]) left = value;
+    if (place == instance->reportPlace[1]) limit = value;
+  }
+}
+
+void Host::record(wire::Reader& in, Millis now) {
+  auto code = in.get<std::uint16_t>("code");
+  if (code == wire::kSnapshotRows) return rows(in);
+  if (code == wire::kView) return view(in, now);
+  if (code < wire::kAlarm || code > wire::kSnapshotRows) {
+    throw wire::Malformed("unknown record code " + std::to_string(code));
+  }
+  auto who = in.get<std::uint32_t>("who");
+  if (code == wire::kCreate) {
+    auto seed = in.get<std::uint64_t>("init-seed");
+    auto n = in.get<std::uint32_t>("facts");
+    return create(who, seed, in.text(n, "facts"), now);
+  }
+  if (code == wire::kStop) {
+    instances_.erase(who);
+    std::erase(touched_, who);
+    return;
+  }
+  Instance* instance = touch(who, now);
+  auto tell = [&](auto step) {
+    if (instance != nullptr) guarded(who, step);
+  };
+  switch (code) {
+    case wire::kAlarm:
+      in.get<std::uint64_t>("label");
+      tell([](Rules& rules) { rules.woken(); });
+      break;
+    case wire::kVanished: {
+      CallbackId id{in.get<std::uint32_t>("rid")};
+      tell([&](Rules& rules) { rules.clientGone(id); });
+      break;
+    }
+    case wire::kUnderWay: {
+      CallbackId id{in.get<std::uint32_t>("rid")};
+      int launch = in.get<std::uint8_t>("round-no");
+      in.endpoint();
+      in.get<double>("spent-s");
+      tell([&](Rules& rules) { rules.answerStarted(id, launch); });
+      break;
+    }
+    case wire::kMail: {
+      in.get<std::uint32_t>("src");
+      in.text(in.get<std::uint16_t>("payload"), "payload");
+      break;
+    }
+    case wire::kDemand: {
+      CallbackId id{in.get<std::uint32_t>("rid")};
+      TrafficTypeId type{in.get<std::uint16_t>("lane")};
+      TenantId tenant{in.get<std::uint16_t>("customer")};
+      KeyId key{in.get<std::uint64_t>("entity")};
+      Millis outerLimit = finite(in.get<double>("client-deadline-s"), "client-deadline-s") * kMillisPerSecond;
+      in.get<double>("expected-s");
+      double destination = finite(in.get<float>("dest"), "dest");
+      in.get<std::uint8_t>("bits");
+      if (destination < 0 || destination > 0xffff) throw wire::Malformed("dest is out of range");
+      DestinationId to{static_cast<std::uint16_t>(destination)};
+      tell([&](Rules& rules) { rules.taken(id, type, tenant, key, to, outerLimit); });
+      break;
+    }
+    case wire::kCompleted: {
+      CallbackId id{in.get<std::uint32_t>("rid")};
+      int launch = in.get<std::uint8_t>("round-no");
+      in.endpoint();
+      Ending ending = endingOf(in.get<std::uint16_t>("ending"));
+      Millis spent = finite(in.get<double>("spent-s"), "spent-s") * kMillisPerSecond;
+      bool over = in.get<std::uint8_t>("terminal") != 0;
+      Millis wait = in.get<std::uint32_t>("hold-ms");
+      double left = 0;
+      double limit = 0;
+      report(in, instance, left, limit);
+      tell([&](Rules& rules) { rules.launchEnded(id, launch, ending, spent, over, wait, left, limit); });
+      break;
+    }
+    case wire::kProbeResult: {
+      EndpointId endpoint = in.endpoint();
+      Ending ending = endingOf(in.get<std::uint16_t>("ending"));
+      in.get<double>("spent-s");
+      double left = 0;
+      double limit = 0;
+      report(in, instance, left, limit);
+      tell([&](Rules& rules) { rules.probeEnded(endpoint, ending, left, limit); });
+      break;
+    }
+  }
+}
+
+std::string Host::batch(std::uint32_t number, std::uint32_t records, double clockSeconds,
+                        std::string_view body) {
+  Millis now = finite(clockSeconds, "clock") * kMillisPerSecond;
+  touched_.clear();
+  wire::Reader in(body);
+  for (std::uint32_t i = 0; i < records; ++i) record(in, now);
+  if (!in.atEnd()) throw wire::Malformed("bytes are left over behind the last record");
+  for (std::uint32_t who : touched_) {
+    guarded(who, [&](Rules& rules) {
+      while (auto decision = rules.next()) out_.act(who, *decision);
+    });
+  }
+  return out_.frame(number);
+}
+
+}  // namespace stonewing
--- /dev/null
+++ b/src/core/terms.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/ids.h"
+
+namespace stonewing {
+
+enum class Effect { pure, receipted, effectful };
+enum class Decay { linear, halving };
+enum class Phase { gone, ready, draining };
+enum class Ending { completed, error, full, timeout, connectFailed, reset, withdrawn, notSent };
+
+// One row a traffic type; only what the rules read.
+struct TrafficType {
+  Millis promised{};
+  Millis outer{};
+  double gain{1};
+  double lateShare{0};
+  Effect effect{Effect::effectful};
+  bool zoneGroup{false};
+  Millis repeatWindow{};
+  bool ordered{false};
+};
+
+struct KindTerms {
+  bool routesApart{false};
+  int perCall{1};
+};
+
+// What a deployment states at the start of an instance.
+struct DeploymentTerms {
+  std::vector<TrafficType> types;
+  std::vector<KindTerms> kinds;
+  std::vector<double> tenantQuotaPerSecond;
+  double overShareGain{1};
+  Decay decay{Decay::linear};
+  int slots{1};
+  int heldMost{1};
+  int launchesMost{1};
+  int instances{1};
+  std::uint32_t me{0};
+  ZoneId zone{};
+  bool mayCopy{false};
+  bool mayProbe{false};
+  bool mayWithdraw{false};
+  bool shedAdvice{false};
+  bool weightsTold{false};
+  bool limitReported{false};
+  Millis longestAdvice{};
+  Millis connectTimeout{};
+  double coldFrom{1};
+  Millis coldSpan{};
+  double fallMultiple{1};
+  Millis fallSpan{};
+  Millis orderPause{};
+};
+
+}  // namespace stonewing
--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,750 @@
+// The decisions of stonewing, all of them, for one instance. The interface is in rules.h.
+// How to call: construct with the terms of the deployment and the seed; for each batch call roundBegins(now),
+// then the inputs in the order in which they came (they only update what is known), then next() until it
+// returns nothing, carrying out each decision in order. Nothing is shared between instances, the time is the
+// batch's, and the same inputs give the same decisions. "Path" is what waits, windows and outages belong to:
+// a destination, or one endpoint of it where routes are apart.
+#include "rules.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+#include <tuple>
+#include <utility>
+
+namespace stonewing {
+namespace {
+
+// The mechanism of the design.
+constexpr std::size_t kReservoir = 512;
+constexpr std::size_t kEnoughSamples = 32;
+constexpr std::size_t kEnoughPooled = 12;  // a destination sees few callbacks at one instance
+constexpr Millis kRecompute = 2000;
+constexpr double kQuantile = 0.95;
+constexpr double kBudgetRatio = 0.1;  // retry budget earned by each first launch
+constexpr double kDelayLeast = 0.3;   // clamp of the copy's delay, of the promised time
+constexpr double kDelayMost = 1.5;
+constexpr double kDelayUnknown = 0.6;  // in place of p95 while nothing was measured
+constexpr double kWindowStart = 0.5;   // of the slots
+constexpr double kWindowTop = 0.75;
+constexpr double kCut = 0.75;
+constexpr double kLate = 2;  // a late answer, in p95 of the destination
+// Time-outs and health.
+constexpr double kSilent = 3;  // no answer for this many p95: the path is silent
+constexpr double kStuck = 4;   // a launch that others overtook is called off after this many p95
+constexpr int kFailuresForOutage = 2;
+constexpr int kHardWeight = 2;  // a failed connection or a break counts for two errors
+constexpr int kRefusalsForOutage = 4;
+constexpr double kRetryPause = 0.5;    // before a repeat after an error, in p50
+constexpr double kRefusalPause = 0.5;  // after a refusal without a wait, in p50, doubling
+constexpr int kRefusalDoublings = 3;
+constexpr double kWaitSpread = 0.15;   // spread behind the end of a wait, of the wait
+constexpr double kWindowMargin = 0.1;  // of a repeat window left unused
+// Return of a destination.
+constexpr double kToldShare = 0.55;       // of the fall budget; under two thirds, so ours alone break nothing
+constexpr double kRoughWeight = 1 / 1.5;  // a listed weight may be half too high
+// Holding.
+constexpr double kRoomKept = 0.05;       // of the callbacks held at most
+constexpr double kTenantBurst = 2;       // seconds of a tenant's quota
+constexpr double kUrgencyStep = 0.5;     // of the promised time
+constexpr double kShortestLaunch = 0.5;  // a launch needs this share of p50 before the outer limit
+
+std::uint64_t mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15u;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+  return x ^ (x >> 31);
+}
+
+}  // namespace
+
+Rules::Rules(DeploymentTerms terms, std::uint64_t seed)
+    : terms_(std::move(terms)), chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {
+  for (double quota : terms_.tenantQuotaPerSecond) {
+    s_.tenantLeft.push_back(std::max(1.0, kTenantBurst * quota / terms_.instances));
+    s_.tenantSeen.push_back(0);
+  }
+}
+
+double Rules::draw() { return static_cast<double>(chance_()) / 4294967296.0; }
+
+// ---- What is known ----
+
+void Rules::roundBegins(Millis now) {
+  s_.now = now;
+  ++s_.round;
+  wakeWanted_ = -1;
+  if (s_.began < 0) s_.began = now;
+  if (s_.wakeAsked <= now) s_.wakeAsked = -1;
+}
+
+void Rules::listBegins() { s_.listing.clear(); }
+
+void Rules::listed(EndpointId id, DestinationId destination, KindId kind, ZoneId zone, double weight,
+                   Phase phase) {
+  Endpoint& e = s_.endpoints[id];
+  e.destination = destination;
+  e.kind = kind;
+  e.zone = zone;
+  e.weight = weight;
+  e.phase = phase;
+  bool apart = kind.value < terms_.kinds.size() && terms_.kinds[kind.value].routesApart;
+  e.path = PathId{apart ? id.value | (std::uint64_t{1} << 63) : destination.value};
+  s_.listing.insert(id);
+}
+
+void Rules::listEnds(bool whole) {
+  s_.ranking.clear();
+  for (auto& [id, p] : s_.paths) p.endpoints.clear();
+  for (auto& [id, e] : s_.endpoints) {
+    if (whole && !s_.listing.contains(id)) e.phase = Phase::gone;
+    if (e.phase != Phase::ready) continue;
+    auto [at, fresh] = s_.paths.try_emplace(e.path);
+    if (fresh) at->second.window = std::max(1.0, std::floor(terms_.slots * kWindowStart));
+    at->second.kind = e.kind;
+    at->second.endpoints.push_back(id);
+    s_.ranking[e.destination].push_back(id);
+  }
+  // Fixed for each destination; the own zone goes first, since crossing zones takes time and is priced.
+  for (auto& [destination, order] : s_.ranking) {
+    std::sort(order.begin(), order.end(), [&](EndpointId a, EndpointId b) {
+      auto place = [&](EndpointId id) {
+        return std::tuple(s_.endpoints[id].zone != terms_.zone, mix(id.value ^ mix(terms_.me)), id);
+      };
+      return place(a) < place(b);
+    });
+  }
+}
+
+Callback* Rules::find(CallbackId id) {
+  auto at = s_.callbacks.find(id);
+  return at == s_.callbacks.end() ? nullptr : &at->second;
+}
+
+void Rules::taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
+                  Millis outerLimit) {
+  if (type.value >= terms_.types.size()) throw std::out_of_range("a callback of an unknown traffic type");
+  Callback& c = s_.callbacks[id];
+  c = Callback{};
+  c.type = type;
+  c.tenant = tenant;
+  c.key = key;
+  c.destination = destination;
+  c.outerLimit = outerLimit;
+  ++s_.held;
+  if (tenant.value < s_.tenantLeft.size()) {
+    double quota = terms_.tenantQuotaPerSecond[tenant.value] / terms_.instances / 1000;
+    double& left = s_.tenantLeft[tenant.value];
+    left = std::min(std::max(1.0, quota * kTenantBurst * 1000),
+                    left + quota * (s_.now - std::exchange(s_.tenantSeen[tenant.value], s_.now)));
+    c.overShare = left < 1;
+    if (!c.overShare) left -= 1;
+  }
+  if (terms_.types[type.value].ordered && key.value != 0) s_.keys[key].waiting.push_back(id);
+}
+
+void Rules::answerStarted(CallbackId id, int launch) {
+  Callback* c = find(id);
+  if (c != nullptr && launch < static_cast<int>(c->launches.size())) c->started = true;
+}
+
+void Rules::releaseCall(int call) {
+  auto at = s_.calls.find(call);
+  if (at == s_.calls.end() || --at->second.open > 0) return;
+  Endpoint& e = s_.endpoints[at->second.endpoint];
+  --e.callsOut;
+  --s_.paths[e.path].callsOut;
+  --s_.slotsUsed;
+  s_.calls.erase(at);
+}
+
+void Rules::launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool isOver, Millis wait,
+                        double left, double limit) {
+  Callback* c = find(id);
+  if (c == nullptr || launch >= static_cast<int>(c->launches.size()) || !c->launches[launch].out) return;
+  Launch& l = c->launches[launch];
+  l.out = false;
+  c->started = false;
+  l.neverRan = ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent;
+  releaseCall(l.call);
+  Endpoint& e = s_.endpoints[l.endpoint];
+  Path& p = s_.paths[e.path];
+  if (limit > 0) noteReport(p, left, limit);
+  switch (ending) {
+    case Ending::completed:
+      noteOk(p, e, l.sent, spent);
+      break;
+    case Ending::full:
+      noteRefusal(p, e, wait);
+      break;
+    case Ending::error:
+      noteFailure(p, e, l.sent, 1);
+      break;
+    case Ending::timeout:
+      if (s_.now < c->outerLimit || s_.now - l.sent > kLate * usualP95(p, type(*c))) {
+        noteFailure(p, e, l.sent, 1);
+      }
+      break;
+    case Ending::connectFailed:
+    case Ending::reset:
+      noteFailure(p, e, l.sent, kHardWeight);
+      break;
+    case Ending::withdrawn:
+    case Ending::notSent:
+      break;
+  }
+  if (ending == Ending::timeout || ending == Ending::reset || ending == Ending::withdrawn) {
+    auto line = s_.keys.find(c->key);
+    if (type(*c).ordered && line != s_.keys.end()) line->second.restUntil = s_.now + terms_.orderPause;
+  }
+  if (ending != Ending::completed) c->notBefore = s_.now + kRetryPause * usualP50(p, type(*c));
+  if (l.neverRan) c->notBefore = s_.now;
+  if (isOver || ending == Ending::completed) over(id);
+  if (c->over) forget(id);
+}
+
+void Rules::clientGone(CallbackId id) { over(id); }
+
+// Also when it comes a rounding early: then what is due is asked for again.
+void Rules::woken() { s_.wakeAsked = -1; }
+
+// The callback is finished: launches still out are losers, to be withdrawn.
+void Rules::over(CallbackId id) {
+  Callback* c = find(id);
+  if (c == nullptr || c->over) return;
+  c->over = true;
+  --s_.held;
+  for (std::size_t n = 0; n < c->launches.size(); ++n) {
+    if (c->launches[n].out && !c->launches[n].withdrawn) s_.losers.emplace_back(id, static_cast<int>(n));
+  }
+  forget(id);
+}
+
+void Rules::forget(CallbackId id) {
+  Callback* c = find(id);
+  if (c == nullptr || !c->over || !settled(*c)) return;
+  auto line = s_.keys.find(c->key);
+  if (line != s_.keys.end() && type(*c).ordered) {
+    std::erase(line->second.waiting, id);
+    if (line->second.waiting.empty() && line->second.restUntil <= s_.now) s_.keys.erase(line);
+  }
+  s_.callbacks.erase(id);
+}
+
+bool Rules::settled(const Callback& c) const {
+  return std::none_of(c.launches.begin(), c.launches.end(), [](const Launch& l) { return l.out; });
+}
+
+// ---- Measured times ----
+
+void Rules::addSample(Samples& samples, Millis spent) {
+  if (samples.kept.size() < kReservoir) {
+    samples.kept.push_back(spent);
+  } else {
+    samples.kept[chance_() % kReservoir] = spent;
+  }
+  bool young = samples.kept.size() <= kEnoughSamples;
+  if (!young && s_.now - samples.computed < kRecompute) return;
+  samples.computed = s_.now;
+  std::vector<Millis> sorted = samples.kept;
+  std::sort(sorted.begin(), sorted.end());
+  samples.p95 = sorted[static_cast<std::size_t>(static_cast<double>(sorted.size()) * kQuantile)];
+  samples.p50 = sorted[sorted.size() / 2];
+}
+
+Millis Rules::usualP95(const Path& p, const TrafficType& t) const {
+  if (p.samples.kept.size() >= kEnoughPooled) return p.samples.p95;
+  if (s_.samples.kept.size() >= kEnoughSamples) return std::max(s_.samples.p95, p.samples.p95);
+  return std::max(t.promised * kDelayUnknown, p.samples.p95);
+}
+
+Millis Rules::usualP50(const Path& p, const TrafficType& t) const {
+  if (p.samples.kept.size() >= kEnoughPooled) return p.samples.p50;
+  if (s_.samples.kept.size() >= kEnoughSamples) return s_.samples.p50;
+  return t.promised * kDelayUnknown / kLate;
+}
+
+Millis Rules::copyDelay(const Callback& c, const Endpoint& e, const Path& p, Millis sent) const {
+  const TrafficType& t = type(c);
+  Millis p95 = e.samples.kept.size() >= kEnoughSamples ? e.samples.p95 : usualP95(p, t);
+  Millis clamped = std::clamp(p95, t.promised * kDelayLeast, t.promised * kDelayMost);
+  return std::min(clamped, (c.outerLimit - sent) / 2);
+}
+
+// ---- Health, window, waits ----
+
+// One episode cuts once: launches sent before the last cut belong to the same trouble.
+void Rules::cut(Path& p, Millis sent) {
+  if (sent < p.lastCut) return;
+  p.lastCut = s_.now;
+  p.timely = 0;
+  p.window = std::max(1.0, std::floor(p.window * kCut));
+}
+
+void Rules::outageBegins(Path& p) {
+  // A probe can be answered beside a queue that stands still: then only a launch shows a return.
+  if (p.cold && !p.servedSinceReturn) p.probesLie = true;
+  p.outage = true;
+  p.cold = false;
+  p.nextTrial = std::max(p.waitUntil, s_.now + terms_.fallSpan * draw());
+}
+
+void Rules::returned(Path& p, bool served) {
+  p.outage = false;
+  p.cold = true;
+  p.coldSince = p.okCounted = s_.now;
+  p.servedSinceReturn = served;
+  p.failures = p.refusals = 0;
+}
+
+void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
+  bool enough = p.samples.kept.size() >= kEnoughPooled;
+  if (enough && spent > kLate * p.samples.p95) {
+    cut(p, sent);
+  } else if (++p.timely >= p.window) {
+    p.timely = 0;
+    p.window = std::min(std::max(1.0, std::floor(terms_.slots * kWindowTop)), p.window + 1);
+  }
+  addSample(e.samples, spent);
+  addSample(p.samples, spent);
+  addSample(s_.samples, spent);
+  e.failures = 0;
+  e.okAt = s_.now;
+  if (!p.cold) {
+    if (p.okCount <= 0) p.firstOk = s_.now;
+    p.okCount = 1 + p.okCount * std::exp(-(s_.now - p.okCounted) / terms_.coldSpan);
+    p.okCounted = s_.now;
+  }
+  p.okAt = s_.now;
+  p.okSentAt = std::max(p.okSentAt, sent);
+  if (p.outage) {
+    if (p.told) {
+      returned(p, true);
+    } else {
+      p.outage = false;
+    }
+  }
+  p.failures = p.refusals = 0;
+  p.servedSinceReturn = true;
+}
+
+void Rules::noteFailure(Path& p, Endpoint& e, Millis sent, int weight) {
+  ++e.failures;
+  e.failedAt = s_.now;
+  if (p.cold && sent >= p.coldSince)
+    p.coldSince = s_.now;  // still failing: it is as cold as on the first day
+  if (p.outage) p.told = true;
+  if (p.outage || p.okAt >= sent) return cut(p, sent);  // others complete: crowded or unlucky, not out
+  p.failures += weight;
+  cut(p, sent);
+  int failing = 0;
+  for (EndpointId id : p.endpoints) failing += s_.endpoints[id].failures > 0;
+  bool spread = failing >= std::min<int>(2, static_cast<int>(p.endpoints.size()));
+  if (p.failures >= kFailuresForOutage * (spread ? 1 : 2)) {
+    p.told = true;
+    outageBegins(p);
+  }
+}
+
+void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait) {
+  e.failedAt = s_.now;
+  ++p.refusals;
+  cut(p, p.lastCut <= s_.now ? s_.now : 0);
+  if (wait > 0) {
+    p.waitUntil = std::max(p.waitUntil, s_.now + wait);
+    p.pauseUntil = std::max(p.pauseUntil, p.waitUntil + kWaitSpread * wait * draw());
+  } else {
+    Millis base = kRefusalPause * usualP50(p, terms_.types.front());
+    Millis pause = base * std::exp2(std::min(p.refusals - 1, kRefusalDoublings)) * (0.5 + draw());
+    p.pauseUntil = std::max(p.pauseUntil, s_.now + pause);
+  }
+  // Shut, not merely over its limit: a wait longer than a limit's span, or refusals and nothing else.
+  bool nothingElse = p.refusals >= kRefusalsForOutage && s_.now - p.okAt > terms_.fallSpan;
+  if (p.outage) p.told = true;
+  if (!p.outage && (wait > terms_.fallSpan || nothingElse)) {
+    p.told = true;
+    outageBegins(p);
+  }
+}
+
+void Rules::noteReport(Path& p, double left, double limit) {
+  p.limitTold = limit;
+  p.leftTold = left;
+  p.leftAt = s_.now;
+}
+
+void Rules::probeEnded(EndpointId id, Ending ending, double left, double limit) {
+  auto at = s_.endpoints.find(id);
+  if (at == s_.endpoints.end()) return;
+  Path& p = s_.paths[at->second.path];
+  p.probeOut = false;
+  if (limit > 0) noteReport(p, left, limit);
+  if (ending != Ending::completed) {
+    p.told = true;
+    ++at->second.failures;
+  } else {
+    at->second.failures = 0;
+    if (p.outage) returned(p, false);
+  }
+}
+
+// Our part of what the path can do, in calls a second: what it did for us, or our even part of what is told.
+double Rules::shareOfCapacity(const Path& p) const {
+  Millis span = std::min(terms_.coldSpan, std::max(terms_.fallSpan, p.okCounted - p.firstOk));
+  double own = p.okCount / span * 1000;
+  double told = p.limitTold;
+  if (told <= 0 && terms_.weightsTold) {
+    for (EndpointId id : p.endpoints) told = std::max(told, s_.endpoints.at(id).weight * kRoughWeight);
+  }
+  return std::max(own, told / terms_.instances);
+}
+
+// A cold destination falls over when pushed: what we send in any fall span stays under our part of what it
+// takes.
+int Rules::coldAllowance(const Path& p, Millis at) const {
+  double warm = std::clamp((at - p.coldSince) / terms_.coldSpan, 0.0, 1.0);
+  double capacity = shareOfCapacity(p) * (terms_.coldFrom + (1 - terms_.coldFrom) * warm);
+  return std::max(1, static_cast<int>(kToldShare * terms_.fallMultiple * capacity * terms_.fallSpan / 1000));
+}
+
+bool Rules::coldFree(Path& p) {
+  if (s_.now - p.coldSince >= terms_.coldSpan) p.cold = p.told = false;
+  if (!p.cold) return true;
+  while (!p.sends.empty() && p.sends.front() <= s_.now - terms_.fallSpan) p.sends.pop_front();
+  if (static_cast<int>(p.sends.size()) < coldAllowance(p, s_.now)) return true;
+  wakeAt(p.sends.front() + terms_.fallSpan);
+  return false;
+}
+
+bool Rules::pathOpen(Path& p) {
+  Millis until = std::max(p.waitUntil, p.pauseUntil);
+  if (s_.now < until) {
+    wakeAt(until);
+    return false;
+  }
+  if (!p.outage) return coldFree(p);
+  if (terms_.mayProbe && !p.probesLie) return false;
+  wakeAt(p.nextTrial);
+  return s_.now >= p.nextTrial;
+}
+
+// ---- What a callback allows ----
+
+double Rules::gainAt(const Callback& c, Millis at) const {
+  const TrafficType& t = type(c);
+  if (at > c.outerLimit) return 0;
+  Millis late = at - (c.outerLimit - t.outer) - t.promised;
+  double share = 1;
+  if (late > 0 && terms_.decay == Decay::halving)
+    share = std::max(t.lateShare, std::exp2(-late / t.promised));
+  if (late > 0 && terms_.decay == Decay::linear) {
+    share = 1 - (1 - t.lateShare) * late / std::max(1.0, t.outer - t.promised);
+  }
+  return t.gain * share * (c.overShare ? terms_.overShareGain : 1);
+}
+
+// What is lost by waiting one step longer.
+double Rules::urgency(const Callback& c, Millis latency, Millis step) const {
+  return gainAt(c, s_.now + latency) - gainAt(c, s_.now + latency + step);
+}
+
+bool Rules::anyMayHaveRun(const Callback& c) const {
+  return std::any_of(c.launches.begin(), c.launches.end(), [&](const Launch& l) { return mayHaveRun(l); });
+}
+
+// No effect twice. A margin of the window is left, for a repeat that reaches the endpoint late.
+bool Rules::repeatAllowed(const Callback& c, const Endpoint* to) const {
+  const TrafficType& t = type(c);
+  if (static_cast<int>(c.launches.size()) >= terms_.launchesMost) return false;
+  if (t.effect == Effect::pure) return true;
+  for (const Launch& l : c.launches) {
+    if (!mayHaveRun(l)) continue;
+    if (t.effect == Effect::effectful) return false;
+    if (s_.now >= l.sent + t.repeatWindow * (1 - kWindowMargin)) return false;
+    if (to != nullptr && t.zoneGroup && s_.endpoints.at(l.endpoint).zone != to->zone) return false;
+  }
+  return true;
+}
+
+// A shed reply promises that trying again is harmless.
+bool Rules::shedAllowed(const Callback& c) const {
+  const TrafficType& t = type(c);
+  if (t.effect == Effect::pure || !anyMayHaveRun(c)) return true;
+  return t.effect == Effect::receipted && !t.zoneGroup && repeatAllowed(c, nullptr);
+}
+
+bool Rules::keyFree(CallbackId id, const Callback& c) {
+  if (!type(c).ordered || c.key.value == 0 || !c.launches.empty()) return true;
+  const KeyLine& line = s_.keys[c.key];
+  if (line.waiting.empty() || line.waiting.front() != id) return false;
+  if (s_.now < line.restUntil) wakeAt(line.restUntil);
+  return s_.now >= line.restUntil;
+}
+
+// ---- Choice of endpoint ----
+
+bool Rules::joins(const Endpoint& e) const {
+  int most = e.kind.value < terms_.kinds.size() ? terms_.kinds[e.kind.value].perCall : 1;
+  return e.batchRound == s_.round && e.batchSize < most;
+}
+
+bool Rules::room(const Path& p, const Endpoint& e) const {
+  if (joins(e)) return true;
+  if (s_.slotsUsed >= terms_.slots || p.callsOut >= static_cast<int>(p.window)) return false;
+  int out = 0;
+  for (EndpointId id : s_.ranking.at(e.destination)) out += s_.endpoints.at(id).callsOut;
+  return out < std::max(1, static_cast<int>(terms_.slots * kWindowTop));
+}
+
+// First in rank, the next when that one has enough: its part of the window, or failures while others work.
+std::optional<EndpointId> Rules::choose(const Callback& c, bool copy) {
+  auto order = s_.ranking.find(c.destination);
+  if (order == s_.ranking.end()) return std::nullopt;
+  std::optional<EndpointId> best;
+  std::tuple<bool, bool, int> bestPlace;
+  for (EndpointId id : order->second) {
+    Endpoint& e = s_.endpoints[id];
+    Path& p = s_.paths[e.path];
+    bool used = std::any_of(c.launches.begin(), c.launches.end(),
+                            [&](const Launch& l) { return l.endpoint == id && (copy || l.out); });
+    if (used || !repeatAllowed(c, &e)) continue;
+    if (copy && (p.outage || p.cold || e.failures > 0)) continue;
+    if (!joins(e) && (!pathOpen(p) || !room(p, e))) continue;
+    int enough =
+        std::max(1, static_cast<int>(std::ceil(p.window / static_cast<double>(order->second.size()))));
+    bool has = !joins(e) && e.callsOut >= enough;
+    auto place = std::tuple(e.failures > 0, has, has ? e.callsOut : 0);
+    if (!best || place < bestPlace) {
+      best = id;
+      bestPlace = place;
+    }
+  }
+  return best;
+}
+
+Decision Rules::launch(CallbackId id, EndpointId to, bool copy) {
+  Callback& c = s_.callbacks[id];
+  Endpoint& e = s_.endpoints[to];
+  Path& p = s_.paths[e.path];
+  if (joins(e)) {
+    ++e.batchSize;
+  } else {
+    e.batchRound = s_.round;
+    e.batchSize = 1;
+    e.batchCall = s_.nextCall++;
+    s_.calls[e.batchCall].endpoint = to;
+    ++e.callsOut;
+    ++p.callsOut;
+    ++s_.slotsUsed;
+    p.sends.push_back(s_.now);
+    while (p.sends.front() <= s_.now - terms_.fallSpan) p.sends.pop_front();
+    if (p.outage) p.nextTrial = s_.now + trialSpan();
+  }
+  ++s_.calls[e.batchCall].open;
+  // The budget: first launches earn, copies need a whole one, repeats of what may have run draw what there
+  // is.
+  if (c.launches.empty()) {
+    s_.retryBudget = std::min<double>(terms_.slots, s_.retryBudget + kBudgetRatio);
+  } else if (copy || anyMayHaveRun(c)) {
+    s_.retryBudget = std::max(0.0, s_.retryBudget - 1);
+  }
+  Millis span = c.outerLimit - s_.now;
+  if (!terms_.mayWithdraw && type(c).effect != Effect::effectful) {
+    span = std::min(span, std::max(type(c).promised, kStuck * usualP95(p, type(c))));
+  }
+  c.copied = c.copied || copy;
+  Launch l;
+  l.endpoint = to;
+  l.sent = s_.now;
+  l.call = e.batchCall;
+  l.copy = copy;
+  c.launches.push_back(l);
+  return {Act::launch, id, to, static_cast<int>(c.launches.size()) - 1, span};
+}
+
+// ---- Decisions ----
+
+Millis Rules::trialSpan() { return terms_.fallSpan * (0.75 + 0.5 * draw()); }
+
+void Rules::wakeAt(Millis at) {
+  if (at > s_.now && (wakeWanted_ < 0 || at < wakeWanted_)) wakeWanted_ = at;
+}
+
+// A hung endpoint gives no late answer to learn from: a launch that outlives the late mark counts as one at
+// once, and a path with nothing answered since a launch went out, for still longer, is taken for out.
+void Rules::noticeSilence() {
+  for (auto& [id, c] : s_.callbacks) {
+    for (Launch& l : c.launches) {
+      if (!l.out || c.started) continue;
+      Path& p = s_.paths[s_.endpoints[l.endpoint].path];
+      Millis p95 = usualP95(p, type(c));
+      Millis late = l.sent + kLate * p95;
+      Millis silent = l.sent + kSilent * p95;
+      if (!l.overdueSeen && s_.now >= late) {
+        l.overdueSeen = true;
+        if (p.samples.kept.size() >= kEnoughPooled) cut(p, l.sent);
+      }
+      if (!p.outage && p.okAt < l.sent && s_.now >= silent) outageBegins(p);
+      wakeAt(s_.now < late ? late : silent);
+    }
+  }
+}
+
+std::optional<Decision> Rules::dueAnswer() {
+  for (auto& [id, c] : s_.callbacks) {
+    if (c.over || c.started) continue;
+    wakeAt(c.outerLimit);
+    bool spent = settled(c) && !c.launches.empty() && !repeatAllowed(c, nullptr);
+    if (s_.now < c.outerLimit && !spent) continue;
+    CallbackId due = id;
+    over(due);
+    return Decision{Act::giveUp, due, {}, 0, 0};
+  }
+  return std::nullopt;
+}
+
+// Beyond the most that may be held the front turns callbacks away unseen: make room by what is worth least.
+std::optional<Decision> Rules::makeRoom() {
+  if (s_.held <= terms_.heldMost - std::max(1.0, terms_.heldMost * kRoomKept)) return std::nullopt;
+  const CallbackId* least = nullptr;
+  double leastGain = 0;
+  Millis away = 0;
+  for (auto& [id, c] : s_.callbacks) {
+    if (c.over || !settled(c) || !shedAllowed(c)) continue;
+    Millis opens = s_.now;
+    auto order = s_.ranking.find(c.destination);
+    if (order != s_.ranking.end()) {
+      opens = c.outerLimit;
+      for (EndpointId e : order->second) {
+        const Path& p = s_.paths[s_.endpoints[e].path];
+        opens = std::min(opens, std::max({s_.now, p.waitUntil, p.outage ? s_.now + terms_.coldSpan : 0}));
+      }
+    }
+    double gain = gainAt(c, opens);
+    if (least != nullptr && gain >= leastGain) continue;
+    least = &id;
+    leastGain = gain;
+    away = opens - s_.now;
+  }
+  if (least == nullptr) return std::nullopt;
+  CallbackId id = *least;
+  over(id);
+  return Decision{Act::shed, id, {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
+}
+
+std::optional<Decision> Rules::withdrawLoser() {
+  while (!s_.losers.empty()) {
+    auto [id, n] = s_.losers.front();
+    s_.losers.pop_front();
+    Callback* c = find(id);
+    if (c == nullptr || !terms_.mayWithdraw || !c->launches[n].out) continue;
+    c->launches[n].withdrawn = true;
+    return Decision{Act::withdraw, id, {}, n, 0};
+  }
+  return std::nullopt;
+}
+
+// A launch that later ones have overtaken is lost: call it off while a repeat is still allowed.
+// While all slots are out, so is one on a path where nothing comes back.
+std::optional<Decision> Rules::freeStuck() {
+  if (!terms_.mayWithdraw) return std::nullopt;
+  for (auto& [id, c] : s_.callbacks) {
+    if (c.over || c.started || !repeatAllowed(c, nullptr)) continue;
+    for (std::size_t n = 0; n < c.launches.size(); ++n) {
+      Launch& l = c.launches[n];
+      if (!l.out || l.withdrawn) continue;
+      const Path& p = s_.paths[s_.endpoints[l.endpoint].path];
+      Millis stuck = l.sent + kStuck * usualP95(p, type(c));
+      wakeAt(stuck);
+      bool overtaken = !p.outage && p.okSentAt > l.sent;
+      if (s_.now < stuck || !(overtaken || (p.outage && s_.slotsUsed >= terms_.slots))) continue;
+      l.withdrawn = true;
+      return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Decision> Rules::copyDue() {
+  if (!terms_.mayCopy || s_.retryBudget < 1) return std::nullopt;
+  for (auto& [id, c] : s_.callbacks) {
+    if (c.over || c.started || c.copied || type(c).effect == Effect::effectful) continue;
+    const Launch* out = nullptr;
+    int many = 0;
+    for (const Launch& l : c.launches) {
+      if (!l.out || l.withdrawn) continue;
+      out = &l;
+      ++many;
+    }
+    if (many != 1) continue;
+    const Endpoint& e = s_.endpoints[out->endpoint];
+    Millis due = out->sent + copyDelay(c, e, s_.paths[e.path], out->sent);
+    wakeAt(due);
+    if (s_.now < due) continue;
+    if (auto to = choose(c, true)) return launch(id, *to, true);
+  }
+  return std::nullopt;
+}
+
+std::optional<Decision> Rules::launchDue() {
+  std::optional<CallbackId> best;
+  std::optional<EndpointId> bestTo;
+  std::tuple<double, Millis> bestPlace;
+  for (auto& [id, c] : s_.callbacks) {
+    if (c.over || !settled(c) || !keyFree(id, c)) continue;
+    if (s_.now < c.notBefore) {
+      wakeAt(c.notBefore);
+      continue;
+    }
+    auto to = choose(c, false);
+    if (!to) continue;
+    const Path& p = s_.paths[s_.endpoints[*to].path];
+    Millis latency = usualP50(p, type(c));
+    if (c.outerLimit - s_.now < kShortestLaunch * latency) continue;
+    double lost = urgency(c, latency, kUrgencyStep * type(c).promised) / std::max(1.0, latency);
+    auto place = std::tuple(lost, -c.outerLimit);
+    if (best && place <= bestPlace) continue;
+    best = id;
+    bestTo = to;
+    bestPlace = place;
+  }
+  if (!best) return std::nullopt;
+  return launch(*best, *bestTo, false);
+}
+
+// Whether a destination is back shows by a probe at a time, which binds no callback to a launch that may be
+// lost.
+std::optional<Decision> Rules::trial() {
+  if (!terms_.mayProbe) return std::nullopt;
+  for (auto& [id, p] : s_.paths) {
+    if (!p.outage || p.probesLie || p.probeOut || p.endpoints.empty()) continue;
+    Millis at = std::max({p.nextTrial, p.waitUntil, p.pauseUntil});
+    wakeAt(at);
+    if (s_.now < at) continue;
+    p.probeOut = true;
+    p.nextTrial = s_.now + trialSpan();
+    p.sends.push_back(s_.now);
+    return Decision{Act::probe, {}, p.endpoints[p.trialTurn++ % p.endpoints.size()], 0, 0};
+  }
+  return std::nullopt;
+}
+
+std::optional<Decision> Rules::wake() {
+  if (wakeWanted_ < 0 || (s_.wakeAsked > s_.now && s_.wakeAsked <= wakeWanted_)) return std::nullopt;
+  s_.wakeAsked = wakeWanted_;
+  return Decision{Act::wake, {}, {}, 0, wakeWanted_};
+}
+
+std::optional<Decision> Rules::next() {
+  noticeSilence();
+  if (auto d = dueAnswer()) return d;
+  if (auto d = makeRoom()) return d;
+  if (auto d = withdrawLoser()) return d;
+  if (auto d = freeStuck()) return d;
+  if (auto d = copyDue()) return d;
+  if (auto d = launchDue()) return d;
+  if (auto d = trial()) return d;
+  return wake();
+}
+
+}  // namespace stonewing
--- /dev/null
+++ b/src/rules.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+#include "core/decision.h"
+#include "core/state.h"
+#include "core/terms.h"
+
+namespace stonewing {
+
+// The decisions of one instance. Tell it what happened, then pull decisions until there is none.
+class Rules {
+ public:
+  Rules(DeploymentTerms terms, std::uint64_t seed);
+
+  void roundBegins(Millis now);
+  void listBegins();
+  void listed(EndpointId id, DestinationId destination, KindId kind, ZoneId zone, double weight, Phase phase);
+  void listEnds(bool whole);
+  void taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
+             Millis outerLimit);
+  void answerStarted(CallbackId id, int launch);
+  // left and limit are what the endpoint reported of its limit; both 0 where it reports none.
+  void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
+                   double left, double limit);
+  void probeEnded(EndpointId id, Ending ending, double left, double limit);
+  void clientGone(CallbackId id);
+  void woken();
+  std::optional<Decision> next();
+
+  const InstanceState& state() const { return s_; }
+
+ private:
+  Callback* find(CallbackId id);
+  const TrafficType& type(const Callback& c) const { return terms_.types.at(c.type.value); }
+  double gainAt(const Callback& c, Millis at) const;
+  double urgency(const Callback& c, Millis latency, Millis step) const;
+  bool settled(const Callback& c) const;
+  bool mayHaveRun(const Launch& l) const { return l.out || !l.neverRan; }
+  bool anyMayHaveRun(const Callback& c) const;
+  bool repeatAllowed(const Callback& c, const Endpoint* to) const;
+  bool shedAllowed(const Callback& c) const;
+  bool keyFree(CallbackId id, const Callback& c);
+  void over(CallbackId id);
+  void forget(CallbackId id);
+  void releaseCall(int call);
+  void addSample(Samples& samples, Millis spent);
+  Millis usualP95(const Path& p, const TrafficType& t) const;
+  Millis usualP50(const Path& p, const TrafficType& t) const;
+  Millis copyDelay(const Callback& c, const Endpoint& e, const Path& p, Millis sent) const;
+  void cut(Path& p, Millis sent);
+  void outageBegins(Path& p);
+  void returned(Path& p, bool served);
+  void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
+  void noteFailure(Path& p, Endpoint& e, Millis sent, int weight);
+  void noteRefusal(Path& p, Endpoint& e, Millis wait);
+  void noteReport(Path& p, double left, double limit);
+  double shareOfCapacity(const Path& p) const;
+  int coldAllowance(const Path& p, Millis at) const;
+  bool coldFree(Path& p);
+  bool pathOpen(Path& p);
+  bool joins(const Endpoint& e) const;
+  bool room(const Path& p, const Endpoint& e) const;
+  std::optional<EndpointId> choose(const Callback& c, bool copy);
+  Decision launch(CallbackId id, EndpointId to, bool copy);
+  void noticeSilence();
+  std::optional<Decision> dueAnswer();
+  std::optional<Decision> makeRoom();
+  std::optional<Decision> withdrawLoser();
+  std::optional<Decision> freeStuck();
+  std::optional<Decision> copyDue();
+  std::optional<Decision> launchDue();
+  std::optional<Decision> trial();
+  Millis trialSpan();
+  std::optional<Decision> wake();
+  void wakeAt(Millis at);
+  double draw();
+
+  DeploymentTerms terms_;
+  std::mt19937 chance_;
+  InstanceState s_;
+  Millis wakeWanted_{-1};
+};
+
+}  // namespace stonewing
