--- a/src/adapter/host.cpp
+++ b/src/adapter/host.cpp
@@ -79,12 +79,11 @@
   Instance fresh;
   fresh.rules = std::make_unique<Rules>(readFacts(facts), seed);
   const auto parsed = nlohmann::json::parse(facts);
-  fresh.reportPlace = {kNowhere, kNowhere};
+  fresh.reportPlace = kNowhere;
   if (parsed.contains("report") && parsed["report"].is_object() && parsed["report"].contains("fields")) {
     std::size_t place = 0;
     for (const auto& field : parsed["report"]["fields"]) {
-      if (field == "x0") fresh.reportPlace[0] = place;
-      if (field == "x1") fresh.reportPlace[1] = place;
+      if (field == "x1") fresh.reportPlace = place;
       ++place;
     }
   }
@@ -134,14 +133,13 @@
   });
 }
 
-void Host::report(wire::Reader& in, const Instance* instance, double& left, double& limit) {
-  left = limit = 0;
+void Host::report(wire::Reader& in, const Instance* instance, double& limit) {
+  limit = 0;
   auto n = in.get<std::uint8_t>("load");
   for (std::size_t place = 0; place < n; ++place) {
     double value = in.get<float>("load");
     if (instance == nullptr || !std::isfinite(value)) continue;
-    if (place == instance->reportPlace[0]) left = value;
-    if (place == instance->reportPlace[1]) limit = value;
+    if (place == instance->reportPlace) limit = value;
   }
 }
 
@@ -212,20 +210,18 @@
       Millis spent = finite(in.get<double>("spent-s"), "spent-s") * kMillisPerSecond;
       bool over = in.get<std::uint8_t>("terminal") != 0;
       Millis wait = in.get<std::uint32_t>("hold-ms");
-      double left = 0;
       double limit = 0;
-      report(in, instance, left, limit);
-      tell([&](Rules& rules) { rules.launchEnded(id, launch, ending, spent, over, wait, left, limit); });
+      report(in, instance, limit);
+      tell([&](Rules& rules) { rules.launchEnded(id, launch, ending, spent, over, wait, limit); });
       break;
     }
     case wire::kProbeResult: {
       EndpointId endpoint = in.endpoint();
       Ending ending = endingOf(in.get<std::uint16_t>("ending"));
       in.get<double>("spent-s");
-      double left = 0;
       double limit = 0;
-      report(in, instance, left, limit);
-      tell([&](Rules& rules) { rules.probeEnded(endpoint, ending, left, limit); });
+      report(in, instance, limit);
+      tell([&](Rules& rules) { rules.probeEnded(endpoint, ending, limit); });
       break;
     }
   }
--- a/src/adapter/host.h
+++ b/src/adapter/host.h
@@ -29,8 +29,7 @@
   };
   struct Instance {
     std::unique_ptr<Rules> rules;
-    std::vector<std::size_t> reportPlace;  // where "x0" and "x1" stand among the reported values
-    std::size_t reported{0};
+    std::size_t reportPlace{};  // of "x1" among the reported values
     std::uint32_t lastBatch{0};
     bool failed{false};
   };
@@ -40,7 +39,7 @@
   void create(std::uint32_t who, std::uint64_t seed, std::string_view facts, Millis now);
   void rows(wire::Reader& in);
   void view(wire::Reader& in, Millis now);
-  static void report(wire::Reader& in, const Instance* instance, double& left, double& limit);
+  static void report(wire::Reader& in, const Instance* instance, double& limit);
   template <class Step>
   void guarded(std::uint32_t who, Step step);
 
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <random>
 #include <set>
 #include <vector>
 
@@ -35,6 +37,10 @@
   bool started{false};
   bool copied{false};
   std::vector<Launch> launches;
+
+  bool settled() const {
+    return std::none_of(launches.begin(), launches.end(), [](const Launch& l) { return l.out; });
+  }
 };
 
 struct Samples {
@@ -42,6 +48,21 @@
   Millis p95{0};
   Millis p50{0};
   Millis computed{0};
+
+  // Up to most samples; after that a new one takes the place of one by chance.
+  void keep(Millis sample, std::size_t most, std::mt19937& chance) {
+    if (kept.size() < most) {
+      kept.push_back(sample);
+    } else {
+      kept[chance() % most] = sample;
+    }
+  }
+  Millis quantile(double share) const {
+    std::vector<Millis> sorted = kept;
+    auto place = sorted.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(sorted.size()) * share);
+    std::nth_element(sorted.begin(), place, sorted.end());
+    return *place;
+  }
 };
 
 struct Endpoint {
@@ -63,7 +84,6 @@
 
 // A destination, or one of its endpoints where routes are apart.
 struct Path {
-  KindId kind{};
   std::vector<EndpointId> endpoints;
   double window{1};
   int timely{0};
@@ -88,8 +108,6 @@
   Millis okCounted{0};
   Millis firstOk{0};
   double limitTold{0};
-  double leftTold{1};
-  Millis leftAt{0};
   std::deque<Millis> sends;
   Samples samples;
 };
@@ -124,6 +142,29 @@
   std::deque<std::pair<CallbackId, int>> losers;
   std::set<EndpointId> listing;
   Samples samples;
+
+  Callback* find(CallbackId id) {
+    auto at = callbacks.find(id);
+    return at == callbacks.end() ? nullptr : &at->second;
+  }
+  // A call is over, and its slot free, with the last outcome in it.
+  void releaseCall(int call) {
+    auto at = calls.find(call);
+    if (at == calls.end() || --at->second.open > 0) return;
+    Endpoint& e = endpoints[at->second.endpoint];
+    --e.callsOut;
+    --paths[e.path].callsOut;
+    --slotsUsed;
+    calls.erase(at);
+  }
 };
 
+// Spreads ids evenly, the same everywhere.
+inline std::uint64_t mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15u;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+  return x ^ (x >> 31);
+}
+
 }  // namespace stonewing
--- a/src/core/terms.h
+++ b/src/core/terms.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <vector>
 
@@ -22,6 +24,13 @@
   bool zoneGroup{false};
   Millis repeatWindow{};
   bool ordered{false};
+
+  // Share of the gain that is left so long after the promised time.
+  double shareLeft(Millis late, Decay decay) const {
+    if (late <= 0) return 1;
+    if (decay == Decay::halving) return std::max(lateShare, std::exp2(-late / promised));
+    return 1 - (1 - lateShare) * late / std::max(1.0, outer - promised);
+  }
 };
 
 struct KindTerms {
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -49,13 +49,6 @@
 constexpr double kUrgencyStep = 0.5;     // of the promised time
 constexpr double kShortestLaunch = 0.5;  // a launch needs this share of p50 before the outer limit
 
-std::uint64_t mix(std::uint64_t x) {
-  x += 0x9e3779b97f4a7c15u;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
-  return x ^ (x >> 31);
-}
-
 }  // namespace
 
 Rules::Rules(DeploymentTerms terms, std::uint64_t seed)
@@ -101,7 +94,6 @@
     if (e.phase != Phase::ready) continue;
     auto [at, fresh] = s_.paths.try_emplace(e.path);
     if (fresh) at->second.window = std::max(1.0, std::floor(terms_.slots * kWindowStart));
-    at->second.kind = e.kind;
     at->second.endpoints.push_back(id);
     s_.ranking[e.destination].push_back(id);
   }
@@ -116,11 +108,6 @@
   }
 }
 
-Callback* Rules::find(CallbackId id) {
-  auto at = s_.callbacks.find(id);
-  return at == s_.callbacks.end() ? nullptr : &at->second;
-}
-
 void Rules::taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
                   Millis outerLimit) {
   if (type.value >= terms_.types.size()) throw std::out_of_range("a callback of an unknown traffic type");
@@ -144,32 +131,22 @@
 }
 
 void Rules::answerStarted(CallbackId id, int launch) {
-  Callback* c = find(id);
+  Callback* c = s_.find(id);
   if (c != nullptr && launch < static_cast<int>(c->launches.size())) c->started = true;
 }
 
-void Rules::releaseCall(int call) {
-  auto at = s_.calls.find(call);
-  if (at == s_.calls.end() || --at->second.open > 0) return;
-  Endpoint& e = s_.endpoints[at->second.endpoint];
-  --e.callsOut;
-  --s_.paths[e.path].callsOut;
-  --s_.slotsUsed;
-  s_.calls.erase(at);
-}
-
 void Rules::launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool isOver, Millis wait,
-                        double left, double limit) {
-  Callback* c = find(id);
+                        double limit) {
+  Callback* c = s_.find(id);
   if (c == nullptr || launch >= static_cast<int>(c->launches.size()) || !c->launches[launch].out) return;
   Launch& l = c->launches[launch];
   l.out = false;
   c->started = false;
   l.neverRan = ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent;
-  releaseCall(l.call);
+  s_.releaseCall(l.call);
   Endpoint& e = s_.endpoints[l.endpoint];
   Path& p = s_.paths[e.path];
-  if (limit > 0) noteReport(p, left, limit);
+  if (limit > 0) p.limitTold = limit;
   switch (ending) {
     case Ending::completed:
       noteOk(p, e, l.sent, spent);
@@ -210,7 +187,7 @@
 
 // The callback is finished: launches still out are losers, to be withdrawn.
 void Rules::over(CallbackId id) {
-  Callback* c = find(id);
+  Callback* c = s_.find(id);
   if (c == nullptr || c->over) return;
   c->over = true;
   --s_.held;
@@ -221,8 +198,8 @@
 }
 
 void Rules::forget(CallbackId id) {
-  Callback* c = find(id);
-  if (c == nullptr || !c->over || !settled(*c)) return;
+  Callback* c = s_.find(id);
+  if (c == nullptr || !c->over || !c->settled()) return;
   auto line = s_.keys.find(c->key);
   if (line != s_.keys.end() && type(*c).ordered) {
     std::erase(line->second.waiting, id);
@@ -231,25 +208,15 @@
   s_.callbacks.erase(id);
 }
 
-bool Rules::settled(const Callback& c) const {
-  return std::none_of(c.launches.begin(), c.launches.end(), [](const Launch& l) { return l.out; });
-}
-
 // ---- Measured times ----
 
 void Rules::addSample(Samples& samples, Millis spent) {
-  if (samples.kept.size() < kReservoir) {
-    samples.kept.push_back(spent);
-  } else {
-    samples.kept[chance_() % kReservoir] = spent;
-  }
+  samples.keep(spent, kReservoir, chance_);
   bool young = samples.kept.size() <= kEnoughSamples;
   if (!young && s_.now - samples.computed < kRecompute) return;
   samples.computed = s_.now;
-  std::vector<Millis> sorted = samples.kept;
-  std::sort(sorted.begin(), sorted.end());
-  samples.p95 = sorted[static_cast<std::size_t>(static_cast<double>(sorted.size()) * kQuantile)];
-  samples.p50 = sorted[sorted.size() / 2];
+  samples.p95 = samples.quantile(kQuantile);
+  samples.p50 = samples.quantile(0.5);
 }
 
 Millis Rules::usualP95(const Path& p, const TrafficType& t) const {
@@ -367,18 +334,12 @@
   }
 }
 
-void Rules::noteReport(Path& p, double left, double limit) {
-  p.limitTold = limit;
-  p.leftTold = left;
-  p.leftAt = s_.now;
-}
-
-void Rules::probeEnded(EndpointId id, Ending ending, double left, double limit) {
+void Rules::probeEnded(EndpointId id, Ending ending, double limit) {
   auto at = s_.endpoints.find(id);
   if (at == s_.endpoints.end()) return;
   Path& p = s_.paths[at->second.path];
   p.probeOut = false;
-  if (limit > 0) noteReport(p, left, limit);
+  if (limit > 0) p.limitTold = limit;
   if (ending != Ending::completed) {
     p.told = true;
     ++at->second.failures;
@@ -434,13 +395,7 @@
   const TrafficType& t = type(c);
   if (at > c.outerLimit) return 0;
   Millis late = at - (c.outerLimit - t.outer) - t.promised;
-  double share = 1;
-  if (late > 0 && terms_.decay == Decay::halving)
-    share = std::max(t.lateShare, std::exp2(-late / t.promised));
-  if (late > 0 && terms_.decay == Decay::linear) {
-    share = 1 - (1 - t.lateShare) * late / std::max(1.0, t.outer - t.promised);
-  }
-  return t.gain * share * (c.overShare ? terms_.overShareGain : 1);
+  return t.gain * t.shareLeft(late, terms_.decay) * (c.overShare ? terms_.overShareGain : 1);
 }
 
 // What is lost by waiting one step longer.
@@ -594,7 +549,7 @@
   for (auto& [id, c] : s_.callbacks) {
     if (c.over || c.started) continue;
     wakeAt(c.outerLimit);
-    bool spent = settled(c) && !c.launches.empty() && !repeatAllowed(c, nullptr);
+    bool spent = c.settled() && !c.launches.empty() && !repeatAllowed(c, nullptr);
     if (s_.now < c.outerLimit && !spent) continue;
     CallbackId due = id;
     over(due);
@@ -610,7 +565,7 @@
   double leastGain = 0;
   Millis away = 0;
   for (auto& [id, c] : s_.callbacks) {
-    if (c.over || !settled(c) || !shedAllowed(c)) continue;
+    if (c.over || !c.settled() || !shedAllowed(c)) continue;
     Millis opens = s_.now;
     auto order = s_.ranking.find(c.destination);
     if (order != s_.ranking.end()) {
@@ -636,7 +591,7 @@
   while (!s_.losers.empty()) {
     auto [id, n] = s_.losers.front();
     s_.losers.pop_front();
-    Callback* c = find(id);
+    Callback* c = s_.find(id);
     if (c == nullptr || !terms_.mayWithdraw || !c->launches[n].out) continue;
     c->launches[n].withdrawn = true;
     return Decision{Act::withdraw, id, {}, n, 0};
@@ -691,7 +646,7 @@
   std::optional<EndpointId> bestTo;
   std::tuple<double, Millis> bestPlace;
   for (auto& [id, c] : s_.callbacks) {
-    if (c.over || !settled(c) || !keyFree(id, c)) continue;
+    if (c.over || !c.settled() || !keyFree(id, c)) continue;
     if (s_.now < c.notBefore) {
       wakeAt(c.notBefore);
       continue;
--- a/src/rules.h
+++ b/src/rules.h
@@ -22,10 +22,10 @@
   void taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
              Millis outerLimit);
   void answerStarted(CallbackId id, int launch);
-  // left and limit are what the endpoint reported of its limit; both 0 where it reports none.
+  // limit: what the endpoint reports of its limit, in calls a second; 0 where it reports none.
   void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
-                   double left, double limit);
-  void probeEnded(EndpointId id, Ending ending, double left, double limit);
+                   double limit);
+  void probeEnded(EndpointId id, Ending ending, double limit);
   void clientGone(CallbackId id);
   void woken();
   std::optional<Decision> next();
@@ -33,11 +33,9 @@
   const InstanceState& state() const { return s_; }
 
  private:
-  Callback* find(CallbackId id);
   const TrafficType& type(const Callback& c) const { return terms_.types.at(c.type.value); }
   double gainAt(const Callback& c, Millis at) const;
   double urgency(const Callback& c, Millis latency, Millis step) const;
-  bool settled(const Callback& c) const;
   bool mayHaveRun(const Launch& l) const { return l.out || !l.neverRan; }
   bool anyMayHaveRun(const Callback& c) const;
   bool repeatAllowed(const Callback& c, const Endpoint* to) const;
@@ -45,7 +43,6 @@
   bool keyFree(CallbackId id, const Callback& c);
   void over(CallbackId id);
   void forget(CallbackId id);
-  void releaseCall(int call);
   void addSample(Samples& samples, Millis spent);
   Millis usualP95(const Path& p, const TrafficType& t) const;
   Millis usualP50(const Path& p, const TrafficType& t) const;
@@ -56,7 +53,6 @@
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
   void noteFailure(Path& p, Endpoint& e, Millis sent, int weight);
   void noteRefusal(Path& p, Endpoint& e, Millis wait);
-  void noteReport(Path& p, double left, double limit);
   double shareOfCapacity(const Path& p) const;
   int coldAllowance(const Path& p, Millis at) const;
   bool coldFree(Path& p);
