Outages need several failures in a row; failing endpoints rest, then are tried again; cold sends are spaced

Also covers flapping connections and partial failures; may be slow to see an outage of a destination with little traffic.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -102,13 +102,12 @@
   bool probesLie{false};
   bool probeOut{false};
   bool servedSinceReturn{true};
-  Millis nextTrial{0};
+  Millis nextPush{0};
   std::size_t trialTurn{0};
   double okCount{0};
   Millis okCounted{0};
   Millis firstOk{0};
   double limitTold{0};
-  std::deque<Millis> sends;
   Samples samples;
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,10 +30,10 @@
 constexpr double kCut = 0.75;
 constexpr double kLate = 2;  // a late answer, in p95 of the destination
 // Time-outs and health.
-constexpr double kSilent = 3;  // no answer for this many p95: the path is silent
-constexpr double kStuck = 4;   // a launch that others overtook is called off after this many p95
-constexpr int kFailuresForOutage = 2;
-constexpr int kHardWeight = 2;  // a failed connection or a break counts for two errors
+constexpr double kSilent = 3;          // no answer for this many p95: the path is silent
+constexpr double kStuck = 4;           // a launch that others overtook is called off after this many p95
+constexpr int kFailuresForOutage = 3;  // in a row, nothing completed since they were sent
+constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
 constexpr int kRefusalsForOutage = 4;
 constexpr double kRetryPause = 0.5;    // before a repeat after an error, in p50
 constexpr double kRefusalPause = 0.5;  // after a refusal without a wait, in p50, doubling
@@ -42,6 +42,7 @@
 constexpr double kWindowMargin = 0.1;  // of a repeat window left unused
 // Return of a destination.
 constexpr double kToldShare = 0.55;       // of the fall budget; under two thirds, so ours alone break nothing
+constexpr double kColdTogether = 2;       // sends in a fall span from all instances, at the least
 constexpr double kRoughWeight = 1 / 1.5;  // a listed weight may be half too high
 // Holding.
 constexpr double kRoomKept = 0.05;       // of the callbacks held at most
@@ -154,17 +155,13 @@
     case Ending::full:
       noteRefusal(p, e, wait);
       break;
-    case Ending::error:
-      noteFailure(p, e, l.sent, 1);
-      break;
     case Ending::timeout:
-      if (s_.now < c->outerLimit || s_.now - l.sent > kLate * usualP95(p, type(*c))) {
-        noteFailure(p, e, l.sent, 1);
-      }
-      break;
+      if (s_.now >= c->outerLimit && s_.now - l.sent <= kLate * usualP95(p, type(*c))) break;
+      [[fallthrough]];
+    case Ending::error:
     case Ending::connectFailed:
     case Ending::reset:
-      noteFailure(p, e, l.sent, kHardWeight);
+      noteFailure(p, e, l.sent);
       break;
     case Ending::withdrawn:
     case Ending::notSent:
@@ -253,7 +250,7 @@
   if (p.cold && !p.servedSinceReturn) p.probesLie = true;
   p.outage = true;
   p.cold = false;
-  p.nextTrial = std::max(p.waitUntil, s_.now + terms_.fallSpan * draw());
+  p.nextPush = std::max(p.waitUntil, s_.now) + coldSpacing(p) * draw();
 }
 
 void Rules::returned(Path& p, bool served) {
@@ -261,6 +258,7 @@
   p.cold = true;
   p.coldSince = p.okCounted = s_.now;
   p.servedSinceReturn = served;
+  p.nextPush = s_.now + coldSpacing(p) * draw();
   p.failures = p.refusals = 0;
 }
 
@@ -295,22 +293,21 @@
   p.servedSinceReturn = true;
 }
 
-void Rules::noteFailure(Path& p, Endpoint& e, Millis sent, int weight) {
+// One failure proves little: calls break and fail singly where most complete. Several in a row do.
+void Rules::noteFailure(Path& p, Endpoint& e, Millis sent) {
   ++e.failures;
   e.failedAt = s_.now;
-  if (p.cold && sent >= p.coldSince)
-    p.coldSince = s_.now;  // still failing: it is as cold as on the first day
-  if (p.outage) p.told = true;
-  if (p.outage || p.okAt >= sent) return cut(p, sent);  // others complete: crowded or unlucky, not out
-  p.failures += weight;
   cut(p, sent);
+  if (p.outage) p.told = true;
+  if (p.outage || p.okAt >= sent) return;  // others complete: crowded or unlucky, not out
+  ++p.failures;
+  if (p.cold && p.failures >= kFailuresToAvoid) p.coldSince = s_.now;  // still failing: as cold as at first
   int failing = 0;
   for (EndpointId id : p.endpoints) failing += s_.endpoints[id].failures > 0;
   bool spread = failing >= std::min<int>(2, static_cast<int>(p.endpoints.size()));
-  if (p.failures >= kFailuresForOutage * (spread ? 1 : 2)) {
-    p.told = true;
-    outageBegins(p);
-  }
+  if (p.failures < kFailuresForOutage * (spread ? 1 : 2)) return;
+  p.told = true;
+  outageBegins(p);
 }
 
 void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait) {
@@ -360,21 +357,18 @@
   return std::max(own, told / terms_.instances);
 }
 
-// A cold destination falls over when pushed: what we send in any fall span stays under our part of what it
-// takes.
-int Rules::coldAllowance(const Path& p, Millis at) const {
-  double warm = std::clamp((at - p.coldSince) / terms_.coldSpan, 0.0, 1.0);
+// A cold destination falls over when pushed. Our sends to one keep apart so far that they stay under our part
+// of what it takes in a fall span; the instances together send about two in a span where that part is not
+// known.
+Millis Rules::coldSpacing(const Path& p) {
+  double warm = p.cold ? std::clamp((s_.now - p.coldSince) / terms_.coldSpan, 0.0, 1.0) : 0;
   double capacity = shareOfCapacity(p) * (terms_.coldFrom + (1 - terms_.coldFrom) * warm);
-  return std::max(1, static_cast<int>(kToldShare * terms_.fallMultiple * capacity * terms_.fallSpan / 1000));
+  double sends = kToldShare * terms_.fallMultiple * capacity * terms_.fallSpan / 1000;
+  return terms_.fallSpan / std::max(sends, kColdTogether / terms_.instances);
 }
 
-bool Rules::coldFree(Path& p) {
-  if (s_.now - p.coldSince >= terms_.coldSpan) p.cold = p.told = false;
-  if (!p.cold) return true;
-  while (!p.sends.empty() && p.sends.front() <= s_.now - terms_.fallSpan) p.sends.pop_front();
-  if (static_cast<int>(p.sends.size()) < coldAllowance(p, s_.now)) return true;
-  wakeAt(p.sends.front() + terms_.fallSpan);
-  return false;
+void Rules::pushed(Path& p) {
+  if (p.outage || p.cold) p.nextPush = s_.now + coldSpacing(p) * (0.75 + 0.5 * draw());
 }
 
 bool Rules::pathOpen(Path& p) {
@@ -383,10 +377,11 @@
     wakeAt(until);
     return false;
   }
-  if (!p.outage) return coldFree(p);
-  if (terms_.mayProbe && !p.probesLie) return false;
-  wakeAt(p.nextTrial);
-  return s_.now >= p.nextTrial;
+  if (p.cold && s_.now - p.coldSince >= terms_.coldSpan) p.cold = p.told = false;
+  if (!p.outage && !p.cold) return true;
+  if (p.outage && terms_.mayProbe && !p.probesLie) return false;
+  wakeAt(p.nextPush);
+  return s_.now >= p.nextPush;
 }
 
 // ---- What a callback allows ----
@@ -451,6 +446,12 @@
   return out < std::max(1, static_cast<int>(terms_.slots * kWindowTop));
 }
 
+// Failing while others of its destination work; for a while, then a launch at a time until one completes.
+bool Rules::avoided(const Endpoint& e) const {
+  Millis rest = std::min(terms_.coldSpan, terms_.fallSpan * e.failures);
+  return e.failures >= kFailuresToAvoid && (s_.now < e.failedAt + rest || e.callsOut > 0);
+}
+
 // First in rank, the next when that one has enough: its part of the window, or failures while others work.
 std::optional<EndpointId> Rules::choose(const Callback& c, bool copy) {
   auto order = s_.ranking.find(c.destination);
@@ -463,12 +464,12 @@
     bool used = std::any_of(c.launches.begin(), c.launches.end(),
                             [&](const Launch& l) { return l.endpoint == id && (copy || l.out); });
     if (used || !repeatAllowed(c, &e)) continue;
-    if (copy && (p.outage || p.cold || e.failures > 0)) continue;
+    if (copy && (p.outage || p.cold || avoided(e))) continue;
     if (!joins(e) && (!pathOpen(p) || !room(p, e))) continue;
     int enough =
         std::max(1, static_cast<int>(std::ceil(p.window / static_cast<double>(order->second.size()))));
     bool has = !joins(e) && e.callsOut >= enough;
-    auto place = std::tuple(e.failures > 0, has, has ? e.callsOut : 0);
+    auto place = std::tuple(avoided(e), has, has ? e.callsOut : 0);
     if (!best || place < bestPlace) {
       best = id;
       bestPlace = place;
@@ -491,9 +492,7 @@
     ++e.callsOut;
     ++p.callsOut;
     ++s_.slotsUsed;
-    p.sends.push_back(s_.now);
-    while (p.sends.front() <= s_.now - terms_.fallSpan) p.sends.pop_front();
-    if (p.outage) p.nextTrial = s_.now + trialSpan();
+    pushed(p);
   }
   ++s_.calls[e.batchCall].open;
   // The budget: first launches earn, copies need a whole one, repeats of what may have run draw what there
@@ -519,8 +518,6 @@
 
 // ---- Decisions ----
 
-Millis Rules::trialSpan() { return terms_.fallSpan * (0.75 + 0.5 * draw()); }
-
 void Rules::wakeAt(Millis at) {
   if (at > s_.now && (wakeWanted_ < 0 || at < wakeWanted_)) wakeWanted_ = at;
 }
@@ -673,12 +670,11 @@
   if (!terms_.mayProbe) return std::nullopt;
   for (auto& [id, p] : s_.paths) {
     if (!p.outage || p.probesLie || p.probeOut || p.endpoints.empty()) continue;
-    Millis at = std::max({p.nextTrial, p.waitUntil, p.pauseUntil});
+    Millis at = std::max({p.nextPush, p.waitUntil, p.pauseUntil});
     wakeAt(at);
     if (s_.now < at) continue;
     p.probeOut = true;
-    p.nextTrial = s_.now + trialSpan();
-    p.sends.push_back(s_.now);
+    pushed(p);
     return Decision{Act::probe, {}, p.endpoints[p.trialTurn++ % p.endpoints.size()], 0, 0};
   }
   return std::nullopt;
--- a/src/rules.h
+++ b/src/rules.h
@@ -51,11 +51,12 @@
   void outageBegins(Path& p);
   void returned(Path& p, bool served);
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
-  void noteFailure(Path& p, Endpoint& e, Millis sent, int weight);
+  void noteFailure(Path& p, Endpoint& e, Millis sent);
   void noteRefusal(Path& p, Endpoint& e, Millis wait);
   double shareOfCapacity(const Path& p) const;
-  int coldAllowance(const Path& p, Millis at) const;
-  bool coldFree(Path& p);
+  Millis coldSpacing(const Path& p);
+  void pushed(Path& p);
+  bool avoided(const Endpoint& e) const;
   bool pathOpen(Path& p);
   bool joins(const Endpoint& e) const;
   bool room(const Path& p, const Endpoint& e) const;
@@ -69,7 +70,6 @@
   std::optional<Decision> copyDue();
   std::optional<Decision> launchDue();
   std::optional<Decision> trial();
-  Millis trialSpan();
   std::optional<Decision> wake();
   void wakeAt(Millis at);
   double draw();
