--- a/src/core/state.h
+++ b/src/core/state.h
@@ -92,6 +92,7 @@
   Millis waitUntil{0};
   Millis pauseUntil{0};
   int refusals{0};
+  Millis refusedSince{0};
   int failures{0};
   Millis okAt{0};
   Millis okSentAt{0};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,6 +35,7 @@
 constexpr int kFailuresForOutage = 3;  // in a row, nothing completed since they were sent
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
 constexpr int kRefusalsForOutage = 4;
+constexpr double kShutSpans = 3;       // refusals alone for so many fall spans: shut
 constexpr double kRetryPause = 0.5;    // before a repeat after an error, in p50
 constexpr double kRefusalPause = 0.5;  // after a refusal without a wait, in p50, doubling
 constexpr int kRefusalDoublings = 3;
@@ -312,7 +313,7 @@
 
 void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait) {
   e.failedAt = s_.now;
-  ++p.refusals;
+  if (++p.refusals == 1) p.refusedSince = s_.now;
   cut(p, p.lastCut <= s_.now ? s_.now : 0);
   if (wait > 0) {
     p.waitUntil = std::max(p.waitUntil, s_.now + wait);
@@ -322,8 +323,11 @@
     Millis pause = base * std::exp2(std::min(p.refusals - 1, kRefusalDoublings)) * (0.5 + draw());
     p.pauseUntil = std::max(p.pauseUntil, s_.now + pause);
   }
-  // Shut, not merely over its limit: a wait longer than a limit's span, or refusals and nothing else.
-  bool nothingElse = p.refusals >= kRefusalsForOutage && s_.now - p.okAt > terms_.fallSpan;
+  // Shut, not merely over its limit: a wait longer than a limit's span, or refusals alone for long. A limit
+  // that others use up refuses us a few times in a row too, and a ramp after that would cost most of the
+  // service.
+  bool nothingElse =
+      p.refusals >= kRefusalsForOutage && s_.now - p.refusedSince > kShutSpans * terms_.fallSpan;
   if (p.outage) p.told = true;
   if (!p.outage && (wait > terms_.fallSpan || nothingElse)) {
     p.told = true;
