The window goes on below one call in flight as a pace

Also covers any untold limit shared with unequal dispatchers; may be slow to take up room again after a short crowd.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,12 +35,12 @@
 constexpr int kFailuresForOutage = 3;  // in a row, nothing completed since they were sent
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
 constexpr int kRefusalsForOutage = 4;
-constexpr double kShutSpans = 3;       // refusals alone for so many fall spans: shut
-constexpr double kRetryPause = 0.5;    // before a repeat after an error, in p50
-constexpr double kRefusalPause = 0.5;  // after a refusal without a wait, in p50, doubling
-constexpr int kRefusalDoublings = 3;
-constexpr double kWaitSpread = 0.15;   // spread behind the end of a wait, of the wait
-constexpr double kWindowMargin = 0.1;  // of a repeat window left unused
+constexpr double kShutSpans = 3;         // refusals alone for so many fall spans: shut
+constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
+constexpr double kPaceFloor = 1.0 / 16;  // the least window, reached by refusals that tell no wait
+constexpr double kPaceGrowth = 1.05;     // of a window under one, by each timely finish
+constexpr double kWaitSpread = 0.15;     // spread behind the end of a wait, of the wait
+constexpr double kWindowMargin = 0.1;    // of a repeat window left unused
 // Return of a destination.
 constexpr double kToldShare = 0.55;       // of the fall budget; under two thirds, so ours alone break nothing
 constexpr double kColdTogether = 2;       // sends in a fall span from all instances, at the least
@@ -154,7 +154,7 @@
       noteOk(p, e, l.sent, spent);
       break;
     case Ending::full:
-      noteRefusal(p, e, wait);
+      noteRefusal(p, e, wait, l.sent);
       break;
     case Ending::timeout:
       if (s_.now >= c->outerLimit && s_.now - l.sent <= kLate * usualP95(p, type(*c))) break;
@@ -238,12 +238,18 @@
 
 // ---- Health, window, waits ----
 
-// One episode cuts once: launches sent before the last cut belong to the same trouble.
-void Rules::cut(Path& p, Millis sent) {
+// One episode cuts once: launches sent before the last cut belong to the same trouble. Below one call in
+// flight the window goes on as a pace: a limit on calls a second can lie under one call after the other.
+void Rules::cut(Path& p, Millis sent, double floor) {
   if (sent < p.lastCut) return;
   p.lastCut = s_.now;
   p.timely = 0;
-  p.window = std::max(1.0, std::floor(p.window * kCut));
+  p.window = std::max(std::min(floor, p.window), p.window * kCut);
+}
+
+// Time from one call to the next where the window is under one.
+Millis Rules::pace(const Path& p) {
+  return usualP50(p, terms_.types.front()) / std::min(1.0, p.window) * (0.75 + 0.5 * draw());
 }
 
 void Rules::outageBegins(Path& p) {
@@ -267,6 +273,8 @@
   bool enough = p.samples.kept.size() >= kEnoughPooled;
   if (enough && spent > kLate * p.samples.p95) {
     cut(p, sent);
+  } else if (p.window < 1) {
+    p.window = std::min(1.0, p.window * kPaceGrowth);
   } else if (++p.timely >= p.window) {
     p.timely = 0;
     p.window = std::min(std::max(1.0, std::floor(terms_.slots * kWindowTop)), p.window + 1);
@@ -311,17 +319,15 @@
   outageBegins(p);
 }
 
-void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait) {
+void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent) {
   e.failedAt = s_.now;
   if (++p.refusals == 1) p.refusedSince = s_.now;
-  cut(p, p.lastCut <= s_.now ? s_.now : 0);
+  cut(p, sent, wait > 0 ? 1 : kPaceFloor);
   if (wait > 0) {
     p.waitUntil = std::max(p.waitUntil, s_.now + wait);
     p.pauseUntil = std::max(p.pauseUntil, p.waitUntil + kWaitSpread * wait * draw());
   } else {
-    Millis base = kRefusalPause * usualP50(p, terms_.types.front());
-    Millis pause = base * std::exp2(std::min(p.refusals - 1, kRefusalDoublings)) * (0.5 + draw());
-    p.pauseUntil = std::max(p.pauseUntil, s_.now + pause);
+    p.pauseUntil = std::max(p.pauseUntil, s_.now + pace(p));
   }
   // Shut, not merely over its limit: a wait longer than a limit's span, or refusals alone for long. A limit
   // that others use up refuses us a few times in a row too, and a ramp after that would cost most of the
@@ -444,7 +450,7 @@
 
 bool Rules::room(const Path& p, const Endpoint& e) const {
   if (joins(e)) return true;
-  if (s_.slotsUsed >= terms_.slots || p.callsOut >= static_cast<int>(p.window)) return false;
+  if (s_.slotsUsed >= terms_.slots || p.callsOut >= std::max(1, static_cast<int>(p.window))) return false;
   int out = 0;
   for (EndpointId id : s_.ranking.at(e.destination)) out += s_.endpoints.at(id).callsOut;
   return out < std::max(1, static_cast<int>(terms_.slots * kWindowTop));
@@ -497,6 +503,7 @@
     ++p.callsOut;
     ++s_.slotsUsed;
     pushed(p);
+    if (p.window < 1) p.pauseUntil = std::max(p.pauseUntil, s_.now + pace(p));
   }
   ++s_.calls[e.batchCall].open;
   // The budget: first launches earn, copies need a whole one, repeats of what may have run draw what there
--- a/src/rules.h
+++ b/src/rules.h
@@ -47,12 +47,13 @@
   Millis usualP95(const Path& p, const TrafficType& t) const;
   Millis usualP50(const Path& p, const TrafficType& t) const;
   Millis copyDelay(const Callback& c, const Endpoint& e, const Path& p, Millis sent) const;
-  void cut(Path& p, Millis sent);
+  void cut(Path& p, Millis sent, double floor = 1);
+  Millis pace(const Path& p);
   void outageBegins(Path& p);
   void returned(Path& p, bool served);
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
   void noteFailure(Path& p, Endpoint& e, Millis sent);
-  void noteRefusal(Path& p, Endpoint& e, Millis wait);
+  void noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent);
   double shareOfCapacity(const Path& p) const;
   Millis coldSpacing(const Path& p);
   void pushed(Path& p);
