--- a/src/core/state.h
+++ b/src/core/state.h
@@ -135,6 +135,7 @@
   std::map<EndpointId, Endpoint> endpoints;
   std::map<PathId, Path> paths;
   std::map<DestinationId, std::vector<EndpointId>> ranking;
+  std::map<DestinationId, int> destinationCalls;
   std::map<int, Call> calls;
   std::map<KeyId, KeyLine> keys;
   std::vector<double> tenantLeft;
@@ -153,6 +154,7 @@
     if (at == calls.end() || --at->second.open > 0) return;
     Endpoint& e = endpoints[at->second.endpoint];
     --e.callsOut;
+    --destinationCalls[e.destination];
     --paths[e.path].callsOut;
     --slotsUsed;
     calls.erase(at);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -175,7 +175,7 @@
   if (ending != Ending::completed) c->notBefore = s_.now + kRetryPause * usualP50(p, type(*c));
   if (l.neverRan) c->notBefore = s_.now;
   if (isOver || ending == Ending::completed) over(id);
-  if (c->over) forget(id);
+  forget(id);
 }
 
 void Rules::clientGone(CallbackId id) { over(id); }
@@ -308,7 +308,7 @@
   e.failedAt = s_.now;
   cut(p, sent);
   if (p.outage) p.told = true;
-  if (p.outage || p.okAt >= sent) return;  // others complete: crowded or unlucky, not out
+  if (p.outage || p.okAt > sent) return;  // others complete: crowded or unlucky, not out
   ++p.failures;
   if (p.cold && p.failures >= kFailuresToAvoid) p.coldSince = s_.now;  // still failing: as cold as at first
   int failing = 0;
@@ -448,11 +448,10 @@
   return e.batchRound == s_.round && e.batchSize < most;
 }
 
-bool Rules::room(const Path& p, const Endpoint& e) const {
+bool Rules::room(const Path& p, const Endpoint& e) {
   if (joins(e)) return true;
   if (s_.slotsUsed >= terms_.slots || p.callsOut >= std::max(1, static_cast<int>(p.window))) return false;
-  int out = 0;
-  for (EndpointId id : s_.ranking.at(e.destination)) out += s_.endpoints.at(id).callsOut;
+  int out = s_.destinationCalls[e.destination];  // also those at endpoints that drain
   return out < std::max(1, static_cast<int>(terms_.slots * kWindowTop));
 }
 
@@ -500,6 +499,7 @@
     e.batchCall = s_.nextCall++;
     s_.calls[e.batchCall].endpoint = to;
     ++e.callsOut;
+    ++s_.destinationCalls[e.destination];
     ++p.callsOut;
     ++s_.slotsUsed;
     pushed(p);
@@ -542,12 +542,12 @@
       Path& p = s_.paths[s_.endpoints[l.endpoint].path];
       Millis p95 = usualP95(p, type(c));
       Millis late = l.sent + kLate * p95;
-      Millis silent = l.sent + kSilent * p95;
+      Millis silent = l.sent + kSilent * std::max(p95, kDelayLeast * type(c).promised);  // a copy goes first
       if (!l.overdueSeen && s_.now >= late) {
         l.overdueSeen = true;
         if (p.samples.kept.size() >= kEnoughPooled) cut(p, l.sent);
       }
-      if (!p.outage && p.okAt < l.sent && s_.now >= silent) outageBegins(p);
+      if (!p.outage && p.okAt <= l.sent && s_.now >= silent) outageBegins(p);
       wakeAt(s_.now < late ? late : silent);
     }
   }
@@ -568,7 +568,7 @@
 
 // Beyond the most that may be held the front turns callbacks away unseen: make room by what is worth least.
 std::optional<Decision> Rules::makeRoom() {
-  if (s_.held <= terms_.heldMost - std::max(1.0, terms_.heldMost * kRoomKept)) return std::nullopt;
+  if (s_.held <= std::max(1, static_cast<int>(terms_.heldMost * (1 - kRoomKept)))) return std::nullopt;
   const CallbackId* least = nullptr;
   double leastGain = 0;
   Millis away = 0;
--- a/src/rules.h
+++ b/src/rules.h
@@ -60,7 +60,7 @@
   bool avoided(const Endpoint& e) const;
   bool pathOpen(Path& p);
   bool joins(const Endpoint& e) const;
-  bool room(const Path& p, const Endpoint& e) const;
+  bool room(const Path& p, const Endpoint& e);
   std::optional<EndpointId> choose(const Callback& c, bool copy);
   Decision launch(CallbackId id, EndpointId to, bool copy);
   void noticeSilence();
--- /dev/null
+++ b/tests/model_test.cpp
@@ -0,0 +1,174 @@
+// A slow, plain model of the rules beside the module, on generated days. The model keeps all that happened
+// and judges each decision by going through it from the start.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <map>
+#include <set>
+
+#include "bench_free.h"
+
+namespace stonewing::testing {
+namespace {
+
+const bool seeded = setenv("RC_PARAMS", "seed=4711 max_success=150", 1) == 0;
+
+struct Sent {
+  Decision what;
+  Millis at;
+  bool out = true;
+  bool proven = false;  // known not to have run
+  bool mayRunOn = false;
+  Millis endedAt = 0;
+};
+struct Taken {
+  TrafficType type;
+  std::uint64_t key;
+  Millis outerLimit;
+  int finals = 0;
+  std::vector<Sent> sent;
+};
+struct Model {
+  DeploymentTerms terms;
+  std::map<std::uint32_t, Taken> all;  // ids rise in the order of taking
+  std::map<EndpointId, std::pair<Phase, std::uint8_t>> list;
+  std::map<std::uint64_t, Millis> waitUntil;
+
+  std::uint64_t path(EndpointId e) const { return terms.kinds[0].routesApart ? e.value : 0; }
+  static bool mayHaveRun(const Sent& s) { return s.out || !s.proven; }
+  bool repeatHarmless(const Taken& c, const EndpointId* to, Millis now) const {
+    if (c.type.effect == Effect::pure) return true;
+    for (const Sent& s : c.sent) {
+      if (!mayHaveRun(s)) continue;
+      if (c.type.effect == Effect::effectful || now > s.at + c.type.repeatWindow) return false;
+      if (c.type.zoneGroup && (to == nullptr || list.at(*to).second != list.at(s.what.endpoint).second))
+        return false;
+    }
+    return true;
+  }
+  bool keyFree(std::uint32_t id, Millis now) const {
+    const Taken& c = all.at(id);
+    if (!c.type.ordered || c.key == 0 || !c.sent.empty()) return true;
+    for (const auto& [other, o] : all) {
+      if (o.key != c.key || !o.type.ordered || other == id) continue;
+      for (const Sent& s : o.sent) {
+        if (s.mayRunOn && now < s.endedAt + terms.orderPause) return false;
+        if (other < id && s.out) return false;
+      }
+      if (other < id && o.finals == 0) return false;
+    }
+    return true;
+  }
+  void judge(const Decision& d, Millis now) {
+    if (d.act == Act::wake) RC_ASSERT(d.span > now);
+    if (d.act == Act::wake || d.act == Act::withdraw || d.act == Act::probe) return;
+    Taken& c = all.at(d.callback.value);
+    RC_ASSERT(c.finals == 0);
+    if (d.act == Act::shed) RC_ASSERT(repeatHarmless(c, nullptr, now));
+    if (d.act != Act::launch) {
+      ++c.finals;
+      return;
+    }
+    RC_ASSERT(now < c.outerLimit);
+    RC_ASSERT(list.at(d.endpoint).first == Phase::ready);
+    RC_ASSERT(now >= waitUntil[path(d.endpoint)]);
+    RC_ASSERT(repeatHarmless(c, &d.endpoint, now));
+    RC_ASSERT(keyFree(d.callback.value, now));
+    RC_ASSERT(static_cast<int>(c.sent.size()) < terms.launchesMost);
+    int out = 0;
+    for (const Sent& s : c.sent) {
+      out += s.out;
+      RC_ASSERT(!s.out || !(s.what.endpoint == d.endpoint));
+    }
+    RC_ASSERT(out <= 1);
+    c.sent.push_back({d, now});
+    int calls = 0;
+    for (const auto& [id, t] : all) {
+      for (const Sent& s : t.sent) calls += s.out;
+    }
+    RC_ASSERT(calls <= std::max(1, terms.slots * 3 / 4));
+  }
+};
+
+TEST(ModelAndModule, AgreeOnWhatIsAllowed) {
+  ASSERT_TRUE(seeded);
+  EXPECT_TRUE(rc::check([] {
+    Model model;
+    model.terms = plainTerms();
+    DeploymentTerms& terms = model.terms;
+    terms.types = {trafficType(Effect::pure), trafficType(Effect::receipted), trafficType(Effect::effectful)};
+    for (TrafficType& t : terms.types) t.ordered = *rc::gen::arbitrary<bool>();
+    terms.types[1].zoneGroup = *rc::gen::arbitrary<bool>();
+    terms.kinds[0].routesApart = *rc::gen::arbitrary<bool>();
+    terms.slots = *rc::gen::inRange(1, 12);
+    terms.heldMost = *rc::gen::inRange(2, 30);
+    terms.mayCopy = *rc::gen::arbitrary<bool>();
+    terms.mayWithdraw = *rc::gen::arbitrary<bool>();
+    terms.mayProbe = *rc::gen::arbitrary<bool>();
+    Bed bed(terms, 0);
+    auto relist = [&](bool whole) {
+      bed.rules.listBegins();
+      std::set<EndpointId> named;
+      for (std::uint64_t n = 1; n <= 4; ++n) {
+        if (*rc::gen::inRange(0, 3) == 0) continue;
+        Phase phase = *rc::gen::element(Phase::ready, Phase::ready, Phase::draining, Phase::gone);
+        auto zone = static_cast<std::uint8_t>(n % 2);
+        bed.list(n, phase, zone);
+        model.list[endpoint(n)] = {phase, zone};
+        named.insert(endpoint(n));
+      }
+      for (auto& [id, known] : model.list) {
+        if (whole && !named.contains(id)) known.first = Phase::gone;
+      }
+      bed.rules.listEnds(whole);
+    };
+    relist(true);
+    std::vector<Decision> probes;
+    std::uint32_t nextId = 1;
+    int steps = *rc::gen::inRange(20, 250);
+    for (int step = 0; step < steps; ++step) {
+      bed.to(bed.now + *rc::gen::element(0.0, 5.0, 40.0, 300.0, 1500.0));
+      int what = *rc::gen::inRange(0, 20);
+      if (what == 0) relist(*rc::gen::arbitrary<bool>());
+      if (what >= 1 && what <= 9) {
+        auto type = static_cast<std::uint16_t>(*rc::gen::inRange(0, 3));
+        auto key = static_cast<std::uint64_t>(*rc::gen::inRange(0, 3));
+        model.all[nextId] = {terms.types[type], key, bed.now + 10000, 0, {}};
+        bed.take(nextId++, type, key);
+      }
+      if (what == 10 && !probes.empty()) {
+        bed.rules.probeEnded(probes.back().endpoint, *rc::gen::element(Ending::completed, Ending::timeout),
+                             0);
+        probes.pop_back();
+      }
+      for (auto& [id, c] : model.all) {
+        for (Sent& s : c.sent) {
+          if (!s.out || (bed.now < c.outerLimit && *rc::gen::inRange(0, 3) != 0)) continue;
+          Ending ending =
+              bed.now >= c.outerLimit
+                  ? Ending::timeout
+                  : *rc::gen::element(Ending::completed, Ending::completed, Ending::full, Ending::error,
+                                      Ending::connectFailed, Ending::reset, Ending::timeout);
+          Millis wait = ending == Ending::full ? *rc::gen::element(0.0, 700.0, 4000.0) : 0.0;
+          s.out = false;
+          s.endedAt = bed.now;
+          s.proven = ending == Ending::full || ending == Ending::connectFailed;
+          s.mayRunOn = ending == Ending::timeout || ending == Ending::reset;
+          Millis& until = model.waitUntil[model.path(s.what.endpoint)];
+          until = std::max(until, wait > 0 ? bed.now + wait : 0);
+          if (ending == Ending::completed) c.finals = std::max(c.finals, 1);
+          bed.end(s.what, ending, bed.now - s.at, wait);
+        }
+      }
+      while (auto d = bed.rules.next()) {
+        model.judge(*d, bed.now);
+        if (d->act == Act::probe) probes.push_back(*d);
+      }
+      for (const auto& [id, c] : model.all) RC_ASSERT(bed.now < c.outerLimit || c.finals == 1);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace stonewing::testing
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,338 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "bench_free.h"
+
+namespace stonewing::testing {
+namespace {
+
+TEST(Answers, GivesUpAtTheOuterLimitOnceAndSendsNothingAfter) {
+  Bed bed;
+  bed.take(1);
+  ASSERT_EQ(bed.pull(Act::launch).size(), 1u);
+  bed.to(11000);
+  EXPECT_EQ(bed.pull(Act::giveUp).size(), 1u);
+  bed.to(11005);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  EXPECT_TRUE(bed.pull(Act::giveUp).empty());
+}
+
+TEST(Answers, AnAlarmThatComesEarlyIsAskedForAgain) {
+  Bed bed;
+  bed.take(1);
+  auto first = bed.pull(Act::wake);
+  ASSERT_FALSE(first.empty());
+  bed.to(first.back().span - 1e-7);
+  bed.rules.woken();
+  EXPECT_FALSE(bed.pull(Act::wake).empty());
+}
+
+TEST(Answers, AnEffectfulCallbackThatMayHaveRunIsGivenUpAtOnce) {
+  for (Ending ending : {Ending::error, Ending::timeout, Ending::reset, Ending::withdrawn}) {
+    Bed bed(plainTerms(Effect::effectful));
+    bed.take(1);
+    bed.end(bed.pull(Act::launch).at(0), ending);
+    EXPECT_EQ(bed.pull(Act::giveUp).size(), 1u);
+  }
+}
+
+TEST(Effects, AnEffectfulCallbackIsLaunchedAgainAfterProofThatItNeverRan) {
+  for (Ending ending : {Ending::full, Ending::connectFailed, Ending::notSent}) {
+    Bed bed(plainTerms(Effect::effectful));
+    bed.take(1);
+    bed.end(bed.pull(Act::launch).at(0), ending);
+    bed.to(4000);
+    EXPECT_EQ(bed.pull(Act::launch).size(), 1u);
+  }
+}
+
+TEST(Effects, AReceiptedRepeatStaysInItsWindow) {
+  Bed bed(plainTerms(Effect::receipted));
+  bed.take(1);
+  bed.end(bed.pull(Act::launch).at(0), Ending::error);
+  bed.to(2000);
+  auto again = bed.pull(Act::launch);
+  ASSERT_EQ(again.size(), 1u);
+  bed.end(again[0], Ending::error);
+  bed.to(4950);  // 3,950 ms after the first launch that may have run, of 4,000
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  EXPECT_TRUE(bed.rules.state().callbacks.empty());
+}
+
+TEST(Effects, AReceiptedRepeatStaysInItsZoneGroup) {
+  DeploymentTerms terms = plainTerms(Effect::receipted);
+  terms.types[0].zoneGroup = true;
+  Bed bed(terms, 0);
+  bed.rules.listBegins();
+  bed.list(1, Phase::ready, 0);
+  bed.list(2, Phase::ready, 1);
+  bed.rules.listEnds(true);
+  bed.take(1);
+  auto first = bed.pull(Act::launch);
+  ASSERT_EQ(first.at(0).endpoint, endpoint(1));
+  bed.end(first[0], Ending::error);
+  bed.to(2000);
+  bed.rules.listBegins();
+  bed.list(1, Phase::draining, 0);
+  bed.rules.listEnds(false);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+}
+
+TEST(Effects, ACallbackThatMayHaveRunInAZoneGroupIsNotShed) {
+  DeploymentTerms terms = plainTerms(Effect::receipted);
+  terms.types[0].zoneGroup = true;
+  terms.heldMost = 2;
+  Bed bed(terms);
+  bed.take(1);
+  bed.end(bed.pull(Act::launch).at(0), Ending::error);
+  for (std::uint32_t id = 2; id <= 4; ++id) bed.take(id);
+  for (const Decision& d : bed.pull(Act::shed)) EXPECT_NE(d.callback, CallbackId{1});
+}
+
+TEST(Holding, ShedsBeforeTheFrontTurnsCallbacksAway) {
+  DeploymentTerms terms = plainTerms();
+  terms.heldMost = 10;
+  Bed bed(terms, 0);
+  for (std::uint32_t id = 1; id <= 10; ++id) bed.take(id);
+  EXPECT_FALSE(bed.pull(Act::shed).empty());
+  EXPECT_LT(bed.rules.state().held, 10);
+}
+
+TEST(Drains, NothingNewGoesToADrainingOrGoneEndpoint) {
+  for (Phase phase : {Phase::draining, Phase::gone}) {
+    Bed bed;
+    bed.rules.listBegins();
+    bed.list(1, phase);
+    bed.rules.listEnds(false);
+    for (std::uint32_t id = 1; id <= 8; ++id) bed.take(id);
+    auto launches = bed.pull(Act::launch);
+    EXPECT_FALSE(launches.empty());
+    for (const Decision& d : launches) EXPECT_EQ(d.endpoint, endpoint(2));
+  }
+  Bed bed;
+  bed.rules.listBegins();
+  bed.list(2);
+  bed.rules.listEnds(true);  // a whole list without endpoint 1
+  bed.take(1);
+  EXPECT_EQ(bed.pull(Act::launch).at(0).endpoint, endpoint(2));
+}
+
+TEST(Waits, AToldWaitHoldsTheDestinationBack) {
+  Bed bed;
+  bed.take(1);
+  bed.end(bed.pull(Act::launch).at(0), Ending::full, 50, 800);
+  bed.take(2);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  bed.to(1799);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  bed.to(2600);
+  EXPECT_FALSE(bed.pull(Act::launch).empty());
+}
+
+TEST(Waits, AreKeptForEachRouteWhereRoutesAreApart) {
+  DeploymentTerms terms = plainTerms();
+  terms.kinds[0].routesApart = true;
+  Bed bed(terms);
+  bed.take(1);
+  auto first = bed.pull(Act::launch);
+  bed.end(first.at(0), Ending::full, 50, 800);
+  auto second = bed.pull(Act::launch);
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_NE(second[0].endpoint, first[0].endpoint);
+}
+
+TEST(Returns, AnOutageIsTriedByProbesAndTheRampIsSlow) {
+  Bed bed;
+  bed.breakDown();
+  for (std::uint32_t id = 10; id < 40; ++id) bed.take(id);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  bed.to(bed.now + 4000);
+  auto probes = bed.pull(Act::probe);
+  ASSERT_EQ(probes.size(), 1u);
+  bed.rules.probeEnded(probes[0].endpoint, Ending::completed, 0);
+  int sent = 0;
+  Millis until = bed.now + 1500;
+  while (bed.now < until) {
+    for (const Decision& d : bed.pull(Act::launch)) {
+      ++sent;
+      bed.end(d, Ending::completed);
+    }
+    bed.to(bed.now + 50);
+  }
+  EXPECT_LE(sent, 2);
+}
+
+TEST(Returns, ASingleFailureAmongCompletionsIsNoOutage) {
+  Bed bed;
+  bed.warm(20);
+  for (std::uint32_t id = 1; id <= 3; ++id) {
+    bed.take(id);
+    bed.end(bed.pull(Act::launch).at(0), Ending::reset);
+    bed.warm(2, 5000 + 10 * id);
+  }
+  EXPECT_FALSE(bed.rules.state().paths.begin()->second.outage);
+}
+
+TEST(Returns, AFailingEndpointIsTriedAgainLater) {
+  Bed bed;
+  bed.warm(20);
+  EndpointId bad = bed.rules.state().ranking.begin()->second.front();
+  std::set<EndpointId> early;
+  std::set<EndpointId> later;
+  for (std::uint32_t id = 1; id <= 60; ++id) {
+    bed.take(id);
+    for (const Decision& d : bed.pull(Act::launch)) {
+      bed.end(d, d.endpoint == bad && id < 10 ? Ending::error : Ending::completed);
+      if (id > 2 && id < 10) early.insert(d.endpoint);
+      if (id > 40) later.insert(d.endpoint);
+    }
+    bed.to(bed.now + 200);
+  }
+  EXPECT_FALSE(early.contains(bad) && early.size() == 1);
+  EXPECT_TRUE(later.contains(bad));
+}
+
+TEST(Limits, RefusalsOverALimitPaceTheCallsAndAreNoOutage) {
+  Bed bed;
+  bed.warm(20);
+  int sent = 0;
+  for (int n = 0; n < 40; ++n) {
+    bed.take(static_cast<std::uint32_t>(n + 1));
+    for (const Decision& d : bed.pull(Act::launch)) {
+      ++sent;
+      bed.end(d, Ending::full);
+    }
+    bed.to(bed.now + 50);
+  }
+  EXPECT_LT(sent, 15);
+  EXPECT_FALSE(bed.rules.state().paths.begin()->second.outage);
+}
+
+TEST(Copies, GoToAnotherEndpointOnceAndTheLoserIsWithdrawn) {
+  Bed bed;
+  bed.warm(40);
+  bed.take(1);
+  auto first = bed.pull(Act::launch);
+  ASSERT_EQ(first.size(), 1u);
+  bed.to(bed.now + 350);
+  auto copy = bed.pull(Act::launch);
+  ASSERT_EQ(copy.size(), 1u);
+  EXPECT_EQ(copy[0].callback, CallbackId{1});
+  EXPECT_NE(copy[0].endpoint, first[0].endpoint);
+  bed.to(bed.now + 20);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  bed.end(copy[0], Ending::completed);
+  auto losers = bed.pull(Act::withdraw);
+  ASSERT_EQ(losers.size(), 1u);
+  EXPECT_EQ(losers[0].launch, 0);
+}
+
+TEST(Copies, WaitForTheOtherWhenOneFails) {
+  Bed bed;
+  bed.warm(40);
+  bed.take(1);
+  auto first = bed.pull(Act::launch);
+  bed.to(bed.now + 350);
+  auto copy = bed.pull(Act::launch);
+  ASSERT_EQ(copy.size(), 1u);
+  bed.end(first.at(0), Ending::error);
+  bed.to(bed.now + 100);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  EXPECT_EQ(bed.rules.state().callbacks.size(), 1u);
+}
+
+TEST(Copies, ArePaidFromTheBudgetAndNeverMadeOfEffectfulCallbacks) {
+  Bed poor;
+  poor.take(1);
+  poor.pull(Act::launch);
+  poor.to(5900);
+  EXPECT_TRUE(poor.pull(Act::launch).empty());
+  DeploymentTerms terms = plainTerms();
+  terms.types.push_back(trafficType(Effect::effectful));
+  Bed bed(terms);
+  bed.warm(40);
+  bed.take(1, 1);
+  bed.pull(Act::launch);
+  bed.to(bed.now + 900);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+}
+
+TEST(Window, HoldsOneDestinationUnderThreeQuartersOfTheSlots) {
+  Bed bed;
+  for (std::uint32_t id = 1; id <= 20; ++id) bed.take(id);
+  EXPECT_EQ(bed.pull(Act::launch).size(), 4u);  // half of 8 slots at the start
+  Bed grown;
+  grown.warm(60);
+  for (std::uint32_t id = 1; id <= 20; ++id) grown.take(id);
+  EXPECT_EQ(grown.pull(Act::launch).size(), 6u);
+}
+
+TEST(Window, AHungDestinationLosesItsWindowWithoutAnAnswer) {
+  Bed bed;
+  bed.warm(60);
+  for (std::uint32_t id = 1; id <= 6; ++id) bed.take(id);
+  bed.pull(Act::launch);
+  for (int n = 0; n < 10; ++n) {
+    bed.to(bed.now + 100);
+    bed.pull(Act::launch);
+  }
+  EXPECT_TRUE(bed.rules.state().paths.begin()->second.outage);
+}
+
+TEST(Batches, CallbacksOfOneRoundShareACallAndASlot) {
+  DeploymentTerms terms = plainTerms();
+  terms.kinds[0].perCall = 5;
+  Bed bed(terms, 1);
+  for (std::uint32_t id = 1; id <= 5; ++id) bed.take(id);
+  auto launches = bed.pull(Act::launch);
+  EXPECT_EQ(launches.size(), 5u);
+  EXPECT_EQ(bed.rules.state().slotsUsed, 1);
+  for (const Decision& d : launches) bed.end(d, Ending::completed);
+  EXPECT_EQ(bed.rules.state().slotsUsed, 0);
+}
+
+TEST(Order, OneAtATimeWithThePause) {
+  DeploymentTerms terms = plainTerms();
+  terms.types[0].ordered = true;
+  Bed bed(terms);
+  bed.take(1, 0, 9);
+  bed.take(2, 0, 9);
+  bed.take(3);
+  auto launches = bed.pull(Act::launch);
+  ASSERT_EQ(launches.size(), 2u);
+  EXPECT_EQ(launches[0].callback, CallbackId{1});
+  EXPECT_EQ(launches[1].callback, CallbackId{3});
+  bed.rules.clientGone(CallbackId{1});
+  EXPECT_TRUE(bed.pull(Act::launch).empty());  // over, but its launch has no outcome yet
+  bed.end(launches[0], Ending::withdrawn);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  bed.to(bed.now + 499);
+  EXPECT_TRUE(bed.pull(Act::launch).empty());
+  bed.to(bed.now + 2);
+  EXPECT_EQ(bed.pull(Act::launch).size(), 1u);
+}
+
+TEST(OddInput, LateAndUnknownIdsArePassedOver) {
+  Bed bed;
+  bed.rules.launchEnded(CallbackId{99}, 0, Ending::completed, 10, true, 0, 0);
+  bed.rules.clientGone(CallbackId{98});
+  bed.rules.probeEnded(endpoint(77), Ending::completed, 0);
+  bed.rules.answerStarted(CallbackId{97}, 3);
+  EXPECT_FALSE(bed.rules.next().has_value());
+}
+
+TEST(OddInput, TwoSlotsOneEndpointZeroWaitAndNoTenants) {
+  DeploymentTerms terms = plainTerms();
+  terms.slots = 2;
+  Bed bed(terms, 1);
+  for (std::uint32_t id = 1; id <= 3; ++id) bed.take(id);
+  auto launches = bed.pull(Act::launch);
+  ASSERT_EQ(launches.size(), 1u);
+  bed.end(launches[0], Ending::full, 10, 0);
+  bed.to(bed.now + 2000);
+  EXPECT_EQ(bed.pull(Act::launch).size(), 1u);
+}
+
+}  // namespace
+}  // namespace stonewing::testing
