While callbacks wait for a slot, long overdue launches are called off

Other causes ruled out: waits and windows were open. Covers hung, silent and very slow paths alike; may end a slow callback that would still have been answered.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -607,20 +607,37 @@
   return std::nullopt;
 }
 
-// A launch that later ones have overtaken is lost: call it off while a repeat is still allowed.
-// While all slots are out, so is one on a path where nothing comes back.
+// Whether a callback waits for nothing but a free slot.
+bool Rules::slotWanted() {
+  if (s_.slotsUsed < terms_.slots) return false;
+  for (auto& [id, c] : s_.callbacks) {
+    auto order = s_.ranking.find(c.destination);
+    if (c.over || !c.settled() || s_.now < c.notBefore || order == s_.ranking.end()) continue;
+    for (EndpointId to : order->second) {
+      Path& p = s_.paths[s_.endpoints[to].path];
+      if (!p.outage && p.callsOut < std::max(1, static_cast<int>(p.window)) && pathOpen(p)) return true;
+    }
+  }
+  return false;
+}
+
+// A launch that later ones have overtaken is lost: call it off while a repeat is still allowed. While
+// callbacks wait for a slot, so is any that is long overdue, even when that ends its callback: the slot
+// completes many others.
 std::optional<Decision> Rules::freeStuck() {
   if (!terms_.mayWithdraw) return std::nullopt;
+  bool wanted = slotWanted();
   for (auto& [id, c] : s_.callbacks) {
-    if (c.over || c.started || !repeatAllowed(c, nullptr)) continue;
+    if (c.over || c.started) continue;
+    bool repeat = repeatAllowed(c, nullptr);
     for (std::size_t n = 0; n < c.launches.size(); ++n) {
       Launch& l = c.launches[n];
       if (!l.out || l.withdrawn) continue;
       const Path& p = s_.paths[s_.endpoints[l.endpoint].path];
       Millis stuck = l.sent + kStuck * usualP95(p, type(c));
       wakeAt(stuck);
-      bool overtaken = !p.outage && p.okSentAt > l.sent;
-      if (s_.now < stuck || !(overtaken || (p.outage && s_.slotsUsed >= terms_.slots))) continue;
+      bool overtaken = repeat && !p.outage && p.okSentAt > l.sent;
+      if (s_.now < stuck || !(overtaken || wanted)) continue;
       l.withdrawn = true;
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
     }
--- a/src/rules.h
+++ b/src/rules.h
@@ -67,6 +67,7 @@
   std::optional<Decision> dueAnswer();
   std::optional<Decision> makeRoom();
   std::optional<Decision> withdrawLoser();
+  bool slotWanted();
   std::optional<Decision> freeStuck();
   std::optional<Decision> copyDue();
   std::optional<Decision> launchDue();
