--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -31,6 +31,7 @@
 constexpr double kLate = 2;  // a late answer, in p95 of the destination
 // Time-outs and health.
 constexpr double kSilent = 3;          // no answer for this many p95: the path is silent
+constexpr double kSlowWindow = 2;      // a window cut so far tells of a slow path
 constexpr double kStuck = 4;           // a launch that others overtook is called off after this many p95
 constexpr int kFailuresForOutage = 3;  // in a row, nothing completed since they were sent
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
@@ -637,7 +638,8 @@
       Millis stuck = l.sent + kStuck * usualP95(p, type(c));
       wakeAt(stuck);
       bool overtaken = repeat && !p.outage && p.okSentAt > l.sent;
-      if (s_.now < stuck || !(overtaken || wanted)) continue;
+      bool slow = p.outage || p.window < kSlowWindow;
+      if (s_.now < stuck || !(overtaken || (wanted && slow))) continue;
       l.withdrawn = true;
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
     }
