--- a/src/core/state.h
+++ b/src/core/state.h
@@ -130,7 +130,6 @@
   int held{0};
   int nextCall{1};
   double retryBudget{0};
-  double slowdown{0};
   Millis wakeAsked{-1};
   std::map<CallbackId, Callback> callbacks;
   std::map<EndpointId, Endpoint> endpoints;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,9 +30,7 @@
 constexpr double kCut = 0.75;
 constexpr double kLate = 2;  // a late answer, in p95 of the destination
 // Time-outs and health.
-constexpr double kSilent = 3;  // no answer for this many p95: the path is silent
-constexpr double kSlowdownPart =
-    1.0 / 16;                          // of each answer in the running measure of everything slow at once
+constexpr double kSilent = 3;          // no answer for this many p95: the path is silent
 constexpr double kStuck = 4;           // a launch that others overtook is called off after this many p95
 constexpr int kFailuresForOutage = 3;  // in a row, nothing completed since they were sent
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
@@ -219,13 +217,9 @@
   samples.p50 = samples.quantile(0.5);
 }
 
-// When everything slows at once no path is the worse for it: the measured times are raised by what the
-// answers of all paths take beyond their usual, so that neither copies nor cuts nor withdrawals follow from
-// it.
 Millis Rules::usualP95(const Path& p, const TrafficType& t) const {
-  double slowdown = std::max(1.0, std::exp(s_.slowdown));
-  if (p.samples.kept.size() >= kEnoughPooled) return p.samples.p95 * slowdown;
-  if (s_.samples.kept.size() >= kEnoughSamples) return std::max(s_.samples.p95, p.samples.p95) * slowdown;
+  if (p.samples.kept.size() >= kEnoughPooled) return p.samples.p95;
+  if (s_.samples.kept.size() >= kEnoughSamples) return std::max(s_.samples.p95, p.samples.p95);
   return std::max(t.promised * kDelayUnknown, p.samples.p95);
 }
 
@@ -277,8 +271,7 @@
 
 void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
   bool enough = p.samples.kept.size() >= kEnoughPooled;
-  if (enough) s_.slowdown += kSlowdownPart * (std::log(std::max(1.0, spent) / p.samples.p50) - s_.slowdown);
-  if (enough && spent > kLate * p.samples.p95 * std::max(1.0, std::exp(s_.slowdown))) {
+  if (enough && spent > kLate * p.samples.p95) {
     cut(p, sent);
   } else if (p.window < 1) {
     p.window = std::min(1.0, p.window * kPaceGrowth);
@@ -644,7 +637,8 @@
       Millis stuck = l.sent + kStuck * usualP95(p, type(c));
       wakeAt(stuck);
       bool overtaken = repeat && !p.outage && p.okSentAt > l.sent;
-      if (s_.now < stuck || !(overtaken || wanted)) continue;
+      bool lost = p.outage || (!repeat && s_.now - l.sent > 2 * (stuck - l.sent));
+      if (s_.now < stuck || !(overtaken || (wanted && lost))) continue;
       l.withdrawn = true;
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
     }
