--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -162,7 +162,7 @@
     case Ending::error:
     case Ending::connectFailed:
     case Ending::reset:
-      noteFailure(p, e, l.sent);
+      noteFailure(p, e, l.sent, ending == Ending::timeout || ending == Ending::connectFailed);
       break;
     case Ending::withdrawn:
     case Ending::notSent:
@@ -303,10 +303,10 @@
 }
 
 // One failure proves little: calls break and fail singly where most complete. Several in a row do.
-void Rules::noteFailure(Path& p, Endpoint& e, Millis sent) {
+void Rules::noteFailure(Path& p, Endpoint& e, Millis sent, bool slow) {
   ++e.failures;
   e.failedAt = s_.now;
-  cut(p, sent);
+  if (slow) cut(p, sent);  // an error or a break tells nothing of load
   if (p.outage) p.told = true;
   if (p.outage || p.okAt > sent) return;  // others complete: crowded or unlucky, not out
   ++p.failures;
--- a/src/rules.h
+++ b/src/rules.h
@@ -52,7 +52,7 @@
   void outageBegins(Path& p);
   void returned(Path& p, bool served);
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
-  void noteFailure(Path& p, Endpoint& e, Millis sent);
+  void noteFailure(Path& p, Endpoint& e, Millis sent, bool slow);
   void noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent);
   double shareOfCapacity(const Path& p) const;
   Millis coldSpacing(const Path& p);
