An outage needs most calls failing, not three failures in a row

Ruled out: slots (5 of 19 out), waits (none told). Covers flapping connections, partial errors; sees an outage of a quiet path later, after about six failed calls.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,10 +30,12 @@
 constexpr double kCut = 0.75;
 constexpr double kLate = 2;  // a late answer, in p95 of the destination
 // Time-outs and health.
-constexpr double kSilent = 3;          // no answer for this many p95: the path is silent
-constexpr double kStuck = 4;           // a launch that others overtook is called off after this many p95
-constexpr int kFailuresForOutage = 3;  // in a row, nothing completed since they were sent
-constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
+constexpr double kSilent = 3;             // no answer for this many p95: the path is silent
+constexpr double kStuck = 4;              // a launch that others overtook is called off after this many p95
+constexpr double kOkSharePart = 1.0 / 8;  // of each answer in the running share that completes
+constexpr double kOkShareOutage = 0.5;
+constexpr double kOkShareCold = 0.8;
+constexpr int kFailuresToAvoid = 2;  // of one endpoint while others of its destination work
 constexpr int kRefusalsForOutage = 4;
 constexpr double kShutSpans = 3;         // refusals alone for so many fall spans: shut
 constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
@@ -266,7 +268,8 @@
   p.coldSince = p.okCounted = s_.now;
   p.servedSinceReturn = served;
   p.nextPush = s_.now + coldSpacing(p) * draw();
-  p.failures = p.refusals = 0;
+  p.okShare = 1;
+  p.refusals = 0;
 }
 
 void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
@@ -298,23 +301,22 @@
       p.outage = false;
     }
   }
-  p.failures = p.refusals = 0;
+  p.okShare += kOkSharePart * (1 - p.okShare);
+  p.refusals = 0;
   p.servedSinceReturn = true;
 }
 
-// One failure proves little: calls break and fail singly where most complete. Several in a row do.
+// One failure proves little, nor do a few in a row where a part of the calls breaks: an outage fails most of
+// them.
 void Rules::noteFailure(Path& p, Endpoint& e, Millis sent, bool slow) {
   ++e.failures;
   e.failedAt = s_.now;
   if (slow) cut(p, sent);  // an error or a break tells nothing of load
   if (p.outage) p.told = true;
   if (p.outage || p.okAt > sent) return;  // others complete: crowded or unlucky, not out
-  ++p.failures;
-  if (p.cold && p.failures >= kFailuresToAvoid) p.coldSince = s_.now;  // still failing: as cold as at first
-  int failing = 0;
-  for (EndpointId id : p.endpoints) failing += s_.endpoints[id].failures > 0;
-  bool spread = failing >= std::min<int>(2, static_cast<int>(p.endpoints.size()));
-  if (p.failures < kFailuresForOutage * (spread ? 1 : 2)) return;
+  p.okShare -= kOkSharePart * p.okShare;
+  if (p.cold && p.okShare < kOkShareCold) p.coldSince = s_.now;  // still failing: as cold as at first
+  if (p.okShare > kOkShareOutage) return;
   p.told = true;
   outageBegins(p);
 }
