--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -324,7 +324,9 @@
 void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent) {
   e.failedAt = s_.now;
   if (++p.refusals == 1) p.refusedSince = s_.now;
-  cut(p, sent, wait > 0 ? 1 : kPaceFloor);
+  // Below our even part of a told limit no refusal is ours to answer for.
+  double even = shareTold(p) * usualP50(p, terms_.types.front()) / 1000;
+  cut(p, sent, wait > 0 ? 1 : std::clamp(even, kPaceFloor, 1.0));
   if (wait > 0) {
     p.waitUntil = std::max(p.waitUntil, s_.now + wait);
     p.pauseUntil = std::max(p.pauseUntil, p.waitUntil + kWaitSpread * wait * draw());
@@ -358,15 +360,19 @@
   }
 }
 
-// Our part of what the path can do, in calls a second: what it did for us, or our even part of what is told.
-double Rules::shareOfCapacity(const Path& p) const {
-  Millis span = std::min(terms_.coldSpan, std::max(terms_.fallSpan, p.okCounted - p.firstOk));
-  double own = p.okCount / span * 1000;
+// Our even part of the limit that is told, in calls a second; 0 where none is.
+double Rules::shareTold(const Path& p) const {
   double told = p.limitTold;
   if (told <= 0 && terms_.weightsTold) {
     for (EndpointId id : p.endpoints) told = std::max(told, s_.endpoints.at(id).weight * kRoughWeight);
   }
-  return std::max(own, told / terms_.instances);
+  return told / terms_.instances;
+}
+
+// Our part of what the path can do: what it did for us, or our even part of what is told.
+double Rules::shareOfCapacity(const Path& p) const {
+  Millis span = std::min(terms_.coldSpan, std::max(terms_.fallSpan, p.okCounted - p.firstOk));
+  return std::max(p.okCount / span * 1000, shareTold(p));
 }
 
 // A cold destination falls over when pushed. Our sends to one keep apart so far that they stay under our part
--- a/src/rules.h
+++ b/src/rules.h
@@ -54,6 +54,7 @@
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
   void noteFailure(Path& p, Endpoint& e, Millis sent, bool slow);
   void noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent);
+  double shareTold(const Path& p) const;
   double shareOfCapacity(const Path& p) const;
   Millis coldSpacing(const Path& p);
   void pushed(Path& p);
