--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -40,6 +40,7 @@
 constexpr double kShutSpans = 3;         // refusals alone for so many fall spans: shut
 constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
 constexpr double kPaceFloor = 1.0 / 16;  // the least window, reached by refusals that tell no wait
+constexpr double kEvenKept = 0.5;        // of our even part of a told limit, kept as the least pace
 constexpr double kPaceGrowth = 1.05;     // of a window under one, by each timely finish
 constexpr double kWaitSpread = 0.15;     // spread behind the end of a wait, of the wait
 constexpr double kWindowMargin = 0.1;    // of a repeat window left unused
@@ -325,7 +326,7 @@
   e.failedAt = s_.now;
   if (++p.refusals == 1) p.refusedSince = s_.now;
   // Below our even part of a told limit no refusal is ours to answer for.
-  double even = shareTold(p) * usualP50(p, terms_.types.front()) / 1000;
+  double even = kEvenKept * shareTold(p) * usualP50(p, terms_.types.front()) / 1000;
   cut(p, sent, wait > 0 ? 1 : std::clamp(even, kPaceFloor, 1.0));
   if (wait > 0) {
     p.waitUntil = std::max(p.waitUntil, s_.now + wait);
