After a refusal one call at a time, ever more rarely, until one completes

Covers any limit that retries exhaust, full queues too; may take up room slowly after a short crowd.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -93,6 +93,7 @@
   Millis pauseUntil{0};
   int refusals{0};
   Millis refusedSince{0};
+  Millis refusedAt{0};
   double okShare{1};
   Millis okAt{0};
   Millis okSentAt{0};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -35,7 +35,8 @@
 constexpr double kOkSharePart = 1.0 / 8;  // of each answer in the running share that completes
 constexpr double kOkShareOutage = 0.5;
 constexpr double kOkShareCold = 0.8;
-constexpr int kFailuresToAvoid = 2;  // of one endpoint while others of its destination work
+constexpr int kFailuresToAvoid = 2;   // of one endpoint while others of its destination work
+constexpr int kRefusalDoublings = 2;  // of the pause after a refusal, while none completes
 constexpr int kRefusalsForOutage = 4;
 constexpr double kShutSpans = 3;         // refusals alone for so many fall spans: shut
 constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
@@ -324,16 +325,18 @@
 
 void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent) {
   e.failedAt = s_.now;
-  if (++p.refusals == 1) p.refusedSince = s_.now;
+  if (p.refusals == 0) p.refusedSince = s_.now;
+  if (sent >= p.refusedAt) ++p.refusals;
+  p.refusedAt = s_.now;
   // Below our even part of a told limit no refusal is ours to answer for.
   double even = kEvenKept * shareTold(p) * usualP50(p, terms_.types.front()) / 1000;
   cut(p, sent, wait > 0 ? 1 : std::clamp(even, kPaceFloor, 1.0));
-  if (wait > 0) {
-    p.waitUntil = std::max(p.waitUntil, s_.now + wait);
-    p.pauseUntil = std::max(p.pauseUntil, p.waitUntil + kWaitSpread * wait * draw());
-  } else {
-    p.pauseUntil = std::max(p.pauseUntil, s_.now + pace(p));
-  }
+  // Refused calls can use up the limit, and then all senders together keep it shut for each other: refused
+  // again and again we try ever more rarely, one call at a time until one completes.
+  double back = std::exp2(std::min(p.refusals - 1, kRefusalDoublings));
+  p.waitUntil = std::max(p.waitUntil, s_.now + wait);
+  Millis pause = wait > 0 ? wait * (1 + (kWaitSpread + back - 1) * draw()) : pace(p) * back;
+  p.pauseUntil = std::max(p.pauseUntil, s_.now + pause);
   // Shut, not merely over its limit: a wait longer than a limit's span, or refusals alone for long. A limit
   // that others use up refuses us a few times in a row too, and a ramp after that would cost most of the
   // service.
@@ -459,7 +462,8 @@
 
 bool Rules::room(const Path& p, const Endpoint& e) {
   if (joins(e)) return true;
-  if (s_.slotsUsed >= terms_.slots || p.callsOut >= std::max(1, static_cast<int>(p.window))) return false;
+  int most = p.refusals > 0 ? 1 : std::max(1, static_cast<int>(p.window));
+  if (s_.slotsUsed >= terms_.slots || p.callsOut >= most) return false;
   int out = s_.destinationCalls[e.destination];  // also those at endpoints that drain
   return out < std::max(1, static_cast<int>(terms_.slots * kWindowTop));
 }
