--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,7 +36,7 @@
 constexpr double kOkShareOutage = 0.5;
 constexpr double kOkShareCold = 0.8;
 constexpr int kFailuresToAvoid = 2;   // of one endpoint while others of its destination work
-constexpr int kRefusalDoublings = 2;  // of the pause after a refusal, while none completes
+constexpr int kRefusalDoublings = 3;  // of the pause after a refusal, while none completes
 constexpr int kRefusalsForOutage = 4;
 constexpr double kShutSpans = 3;         // refusals alone for so many fall spans: shut
 constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
@@ -650,7 +650,7 @@
       Millis stuck = l.sent + kStuck * usualP95(p, type(c));
       wakeAt(stuck);
       bool overtaken = repeat && !p.outage && p.okSentAt > l.sent;
-      bool lost = p.outage || (!repeat && s_.now - l.sent > 2 * (stuck - l.sent));
+      bool lost = p.outage || repeat || s_.now - l.sent > 2 * (stuck - l.sent);
       if (s_.now < stuck || !(overtaken || (wanted && lost))) continue;
       l.withdrawn = true;
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
