Failed connections weigh more; avoided endpoints are checked by probes

Ruled out: refusals (few), slowness (completed calls are quick). Covers cut links, full tables, unreachable zones; two failed connections by chance stop a path for a probe's time.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,6 +33,7 @@
 constexpr double kSilent = 3;             // no answer for this many p95: the path is silent
 constexpr double kStuck = 4;              // a launch that others overtook is called off after this many p95
 constexpr double kOkSharePart = 1.0 / 8;  // of each answer in the running share that completes
+constexpr double kOkShareHard = 0.4;      // in place of it for a failed connection
 constexpr double kOkShareOutage = 0.5;
 constexpr double kOkShareCold = 0.8;
 constexpr int kFailuresToAvoid = 2;   // of one endpoint while others of its destination work
@@ -117,13 +118,12 @@
 void Rules::taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
                   Millis outerLimit) {
   if (type.value >= terms_.types.size()) throw std::out_of_range("a callback of an unknown traffic type");
-  Callback& c = s_.callbacks[id];
-  c = Callback{};
-  c.type = type;
-  c.tenant = tenant;
-  c.key = key;
-  c.destination = destination;
-  c.outerLimit = outerLimit;
+  Callback& c = s_.callbacks[id] = Callback{.type = type,
+                                            .tenant = tenant,
+                                            .key = key,
+                                            .destination = destination,
+                                            .outerLimit = outerLimit,
+                                            .launches = {}};
   ++s_.held;
   if (tenant.value < s_.tenantLeft.size()) {
     double quota = terms_.tenantQuotaPerSecond[tenant.value] / terms_.instances / 1000;
@@ -166,7 +166,7 @@
     case Ending::error:
     case Ending::connectFailed:
     case Ending::reset:
-      noteFailure(p, e, l.sent, ending == Ending::timeout || ending == Ending::connectFailed);
+      noteFailure(p, e, l.sent, ending);
       break;
     case Ending::withdrawn:
     case Ending::notSent:
@@ -256,10 +256,11 @@
   return usualP50(p, terms_.types.front()) / std::min(1.0, p.window) * (0.75 + 0.5 * draw());
 }
 
-void Rules::outageBegins(Path& p) {
+void Rules::outageBegins(Path& p, bool told) {
   // A probe can be answered beside a queue that stands still: then only a launch shows a return.
   if (p.cold && !p.servedSinceReturn) p.probesLie = true;
   p.outage = true;
+  p.told = told;
   p.cold = false;
   p.nextPush = std::max(p.waitUntil, s_.now) + coldSpacing(p) * draw();
 }
@@ -296,13 +297,8 @@
   }
   p.okAt = s_.now;
   p.okSentAt = std::max(p.okSentAt, sent);
-  if (p.outage) {
-    if (p.told) {
-      returned(p, true);
-    } else {
-      p.outage = false;
-    }
-  }
+  if (p.outage && p.told) returned(p, true);
+  p.outage = false;
   p.okShare += kOkSharePart * (1 - p.okShare);
   p.refusals = 0;
   p.servedSinceReturn = true;
@@ -310,17 +306,18 @@
 
 // One failure proves little, nor do a few in a row where a part of the calls breaks: an outage fails most of
 // them.
-void Rules::noteFailure(Path& p, Endpoint& e, Millis sent, bool slow) {
-  ++e.failures;
+void Rules::noteFailure(Path& p, Endpoint& e, Millis sent, Ending ending) {
+  bool hard =
+      ending == Ending::connectFailed;  // holds a slot for the whole connect time-out, and is no chance
+  e.failures += hard ? kFailuresToAvoid : 1;
   e.failedAt = s_.now;
-  if (slow) cut(p, sent);  // an error or a break tells nothing of load
+  if (hard || ending == Ending::timeout) cut(p, sent);  // an error or a break tells nothing of load
   if (p.outage) p.told = true;
   if (p.outage || p.okAt > sent) return;  // others complete: crowded or unlucky, not out
-  p.okShare -= kOkSharePart * p.okShare;
+  p.okShare *= 1 - (hard ? kOkShareHard : kOkSharePart);
   if (p.cold && p.okShare < kOkShareCold) p.coldSince = s_.now;  // still failing: as cold as at first
   if (p.okShare > kOkShareOutage) return;
-  p.told = true;
-  outageBegins(p);
+  outageBegins(p, true);
 }
 
 void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent) {
@@ -338,15 +335,11 @@
   Millis pause = wait > 0 ? wait * (1 + (kWaitSpread + back - 1) * draw()) : pace(p) * back;
   p.pauseUntil = std::max(p.pauseUntil, s_.now + pause);
   // Shut, not merely over its limit: a wait longer than a limit's span, or refusals alone for long. A limit
-  // that others use up refuses us a few times in a row too, and a ramp after that would cost most of the
-  // service.
+  // that others use up refuses us a few times in a row too, and a ramp after that would cost the service.
   bool nothingElse =
       p.refusals >= kRefusalsForOutage && s_.now - p.refusedSince > kShutSpans * terms_.fallSpan;
   if (p.outage) p.told = true;
-  if (!p.outage && (wait > terms_.fallSpan || nothingElse)) {
-    p.told = true;
-    outageBegins(p);
-  }
+  if (!p.outage && (wait > terms_.fallSpan || nothingElse)) outageBegins(p, true);
 }
 
 void Rules::probeEnded(EndpointId id, Ending ending, double limit) {
@@ -358,6 +351,7 @@
   if (ending != Ending::completed) {
     p.told = true;
     ++at->second.failures;
+    at->second.failedAt = s_.now;
   } else {
     at->second.failures = 0;
     if (p.outage) returned(p, false);
@@ -468,10 +462,15 @@
   return out < std::max(1, static_cast<int>(terms_.slots * kWindowTop));
 }
 
-// Failing while others of its destination work; for a while, then a launch at a time until one completes.
-bool Rules::avoided(const Endpoint& e) const {
-  Millis rest = std::min(terms_.coldSpan, terms_.fallSpan * e.failures);
-  return e.failures >= kFailuresToAvoid && (s_.now < e.failedAt + rest || e.callsOut > 0);
+// Failing while others of its destination work; until a probe is answered, or for a while where none may be
+// sent.
+bool Rules::avoided(const Endpoint& e) {
+  if (e.failures < kFailuresToAvoid) return false;
+  return (terms_.mayProbe && !s_.paths[e.path].probesLie) || s_.now < restEnds(e) || e.callsOut > 0;
+}
+
+Millis Rules::restEnds(const Endpoint& e) const {
+  return e.failedAt + std::min(terms_.coldSpan, terms_.fallSpan * e.failures);
 }
 
 // First in rank, the next when that one has enough: its part of the window, or failures while others work.
@@ -531,12 +530,7 @@
     span = std::min(span, std::max(type(c).promised, kStuck * usualP95(p, type(c))));
   }
   c.copied = c.copied || copy;
-  Launch l;
-  l.endpoint = to;
-  l.sent = s_.now;
-  l.call = e.batchCall;
-  l.copy = copy;
-  c.launches.push_back(l);
+  c.launches.push_back({.endpoint = to, .sent = s_.now, .call = e.batchCall, .copy = copy});
   return {Act::launch, id, to, static_cast<int>(c.launches.size()) - 1, span};
 }
 
@@ -560,7 +554,7 @@
         l.overdueSeen = true;
         if (p.samples.kept.size() >= kEnoughPooled) cut(p, l.sent);
       }
-      if (!p.outage && p.okAt <= l.sent && s_.now >= silent) outageBegins(p);
+      if (!p.outage && p.okAt <= l.sent && s_.now >= silent) outageBegins(p, p.told);
       wakeAt(s_.now < late ? late : silent);
     }
   }
@@ -710,14 +704,18 @@
 // lost.
 std::optional<Decision> Rules::trial() {
   if (!terms_.mayProbe) return std::nullopt;
-  for (auto& [id, p] : s_.paths) {
-    if (!p.outage || p.probesLie || p.probeOut || p.endpoints.empty()) continue;
-    Millis at = std::max({p.nextPush, p.waitUntil, p.pauseUntil});
+  for (auto& [id, e] : s_.endpoints) {
+    Path& p = s_.paths[e.path];
+    if (e.phase != Phase::ready || p.probesLie || p.probeOut) continue;
+    bool turn = p.outage && p.endpoints[p.trialTurn % p.endpoints.size()] == id;
+    if (!turn && (p.outage || e.failures < kFailuresToAvoid)) continue;
+    Millis at = std::max({p.outage ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil});
     wakeAt(at);
     if (s_.now < at) continue;
+    if (p.outage) ++p.trialTurn;
     p.probeOut = true;
     pushed(p);
-    return Decision{Act::probe, {}, p.endpoints[p.trialTurn++ % p.endpoints.size()], 0, 0};
+    return Decision{Act::probe, {}, id, 0, 0};
   }
   return std::nullopt;
 }
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -63,7 +63,7 @@
     }
     return found;
   }
-  // Completes so many callbacks one after the other, which gives the module its samples.
+  // So many callbacks completed give the module its samples.
   void warm(int many, std::uint32_t from = 1000) {
     for (int n = 0; n < many; ++n) {
       take(from + static_cast<std::uint32_t>(n));
@@ -72,7 +72,6 @@
       for (const Decision& d : launches) end(d, Ending::completed);
     }
   }
-  // Fails launches until the destination counts as out; the callback is 1.
   void breakDown() {
     take(1);
     while (!rules.state().paths.begin()->second.outage) {
