--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,7 +43,7 @@
 constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
 constexpr double kPaceFloor = 1.0 / 16;  // the least window, reached by refusals that tell no wait
 constexpr double kEvenKept = 0.5;        // of our even part of a told limit, kept as the least pace
-constexpr double kPaceGrowth = 1.05;     // of a window under one, by each timely finish
+constexpr double kPaceGrowth = 1.02;     // of a window under one, by each timely finish
 constexpr double kWaitSpread = 0.15;     // spread behind the end of a wait, of the wait
 constexpr double kWindowMargin = 0.1;    // of a repeat window left unused
 // Return of a destination.
