--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -22,7 +22,7 @@
 constexpr Millis kRecompute = 2000;
 constexpr double kQuantile = 0.95;
 constexpr double kBudgetRatio = 0.1;  // retry budget earned by each first launch
-constexpr double kDelayLeast = 0.3;   // clamp of the copy's delay, of the promised time
+constexpr double kDelayLeast = 0.5;   // clamp of the copy's delay, of the promised time
 constexpr double kDelayMost = 1.5;
 constexpr double kDelayUnknown = 0.6;  // in place of p95 while nothing was measured
 constexpr double kWindowStart = 0.5;   // of the slots
@@ -43,7 +43,7 @@
 constexpr double kRetryPause = 0.5;      // before a repeat after an error, in p50
 constexpr double kPaceFloor = 1.0 / 16;  // the least window, reached by refusals that tell no wait
 constexpr double kEvenKept = 0.5;        // of our even part of a told limit, kept as the least pace
-constexpr double kPaceGrowth = 1.02;     // of a window under one, by each timely finish
+constexpr double kPaceGrowth = 1.05;     // of a window under one, by each timely finish
 constexpr double kWaitSpread = 0.15;     // spread behind the end of a wait, of the wait
 constexpr double kWindowMargin = 0.1;    // of a repeat window left unused
 // Return of a destination.
@@ -549,7 +549,8 @@
       Path& p = s_.paths[s_.endpoints[l.endpoint].path];
       Millis p95 = usualP95(p, type(c));
       Millis late = l.sent + kLate * p95;
-      Millis silent = l.sent + kSilent * std::max(p95, kDelayLeast * type(c).promised);  // a copy goes first
+      Millis first = copyDelay(c, s_.endpoints[l.endpoint], p, l.sent);  // a copy goes first
+      Millis silent = l.sent + std::max(kSilent * p95, first + p95);
       if (!l.overdueSeen && s_.now >= late) {
         l.overdueSeen = true;
         if (p.samples.kept.size() >= kEnoughPooled) cut(p, l.sent);
