--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -550,7 +550,7 @@
       Millis p95 = usualP95(p, type(c));
       Millis late = l.sent + kLate * p95;
       Millis first = copyDelay(c, s_.endpoints[l.endpoint], p, l.sent);  // a copy goes first
-      Millis silent = l.sent + std::max(kSilent * p95, first + p95);
+      Millis silent = l.sent + kSilent * std::max(p95, first / kLate);
       if (!l.overdueSeen && s_.now >= late) {
         l.overdueSeen = true;
         if (p.samples.kept.size() >= kEnoughPooled) cut(p, l.sent);
