Copies stop while slots are short, a refusal is outstanding or the window has no room

The budget alone let copies take slots and limit that first launches needed. Covers overload of any cause; an endpoint that is slow while the dispatcher is busy gets no copies.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -21,10 +21,11 @@
 constexpr std::size_t kEnoughPooled = 12;  // a destination sees few callbacks at one instance
 constexpr Millis kRecompute = 2000;
 constexpr double kQuantile = 0.95;
-constexpr double kBudgetRatio = 0.0;  // retry budget earned by each first launch
+constexpr double kBudgetRatio = 0.1;  // retry budget earned by each first launch
 constexpr double kDelayLeast = 0.3;   // clamp of the copy's delay, of the promised time
 constexpr double kDelayMost = 1.5;
 constexpr double kDelayUnknown = 0.6;  // in place of p95 while nothing was measured
+constexpr double kCopySlots = 0.5;     // no copies with more of the slots out
 constexpr double kWindowStart = 0.5;   // of the slots
 constexpr double kWindowTop = 0.75;
 constexpr double kCut = 0.75;
@@ -485,7 +486,7 @@
     bool used = std::any_of(c.launches.begin(), c.launches.end(),
                             [&](const Launch& l) { return l.endpoint == id && (copy || l.out); });
     if (used || !repeatAllowed(c, &e)) continue;
-    if (copy && (p.outage || p.cold || avoided(e))) continue;
+    if (copy && (p.outage || p.cold || p.refusals > 0 || p.window < p.callsOut + 2 || avoided(e))) continue;
     if (!joins(e) && (!pathOpen(p) || !room(p, e))) continue;
     int enough =
         std::max(1, static_cast<int>(std::ceil(p.window / static_cast<double>(order->second.size()))));
@@ -654,7 +655,9 @@
 }
 
 std::optional<Decision> Rules::copyDue() {
+  // Copies are the first to stop: while slots are short they would take what first launches need.
   if (!terms_.mayCopy || s_.retryBudget < 1) return std::nullopt;
+  if (s_.slotsUsed >= terms_.slots * kCopySlots) return std::nullopt;
   for (auto& [id, c] : s_.callbacks) {
     if (c.over || c.started || c.copied || type(c).effect == Effect::effectful) continue;
     const Launch* out = nullptr;
