--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -555,7 +555,7 @@
         l.overdueSeen = true;
         if (p.samples.kept.size() >= kEnoughPooled) cut(p, l.sent);
       }
-      if (!p.outage && std::max(p.okAt, p.coldSince) <= l.sent && s_.now >= silent) outageBegins(p, p.told);
+      if (!p.outage && p.okAt <= l.sent && s_.now >= silent) outageBegins(p, p.told);
       wakeAt(s_.now < late ? late : silent);
     }
   }
