--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -157,7 +157,7 @@
   if (limit > 0) p.limitTold = limit;
   switch (ending) {
     case Ending::completed:
-      noteOk(p, e, l.sent, spent, s_.calls.contains(l.call) ? kFurtherWeight : 1);
+      noteOk(p, e, l.sent, spent);
       break;
     case Ending::full:
       noteRefusal(p, e, wait, l.sent);
@@ -273,7 +273,7 @@
   p.refusals = 0;
 }
 
-void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent, double work) {
+void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
   bool enough = p.samples.kept.size() >= kEnoughPooled;
   if (enough && spent > kLate * p.samples.p95) {
     cut(p, sent);
@@ -290,7 +290,7 @@
   e.okAt = s_.now;
   if (!p.cold) {
     if (p.okCount <= 0) p.firstOk = s_.now;
-    p.okCount = work + p.okCount * std::exp(-(s_.now - p.okCounted) / terms_.coldSpan);
+    p.okCount = 1 + p.okCount * std::exp(-(s_.now - p.okCounted) / terms_.coldSpan);
     p.okCounted = s_.now;
   }
   p.okAt = s_.now;
@@ -502,7 +502,7 @@
   Path& p = s_.paths[e.path];
   if (joins(e)) {
     ++e.batchSize;
-    p.nextPush += kFurtherWeight * coldSpacing(p);
+    if (p.outage || p.cold) p.nextPush += kFurtherWeight * coldSpacing(p);
   } else {
     e.batchRound = s_.round;
     e.batchSize = 1;
--- a/src/rules.h
+++ b/src/rules.h
@@ -51,7 +51,7 @@
   Millis pace(const Path& p);
   void outageBegins(Path& p, bool told);
   void returned(Path& p, bool served);
-  void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent, double work);
+  void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
   void noteFailure(Path& p, Endpoint& e, Millis sent, Ending ending);
   void noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent);
   double shareTold(const Path& p) const;
