--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -15,7 +15,6 @@
 namespace stonewing {
 namespace {
 
-// The mechanism of the design.
 constexpr std::size_t kReservoir = 512;
 constexpr std::size_t kEnoughSamples = 32;
 constexpr std::size_t kEnoughPooled = 12;  // a destination sees few callbacks at one instance
@@ -51,6 +50,7 @@
 constexpr double kToldShare = 0.55;       // of the fall budget; under two thirds, so ours alone break nothing
 constexpr double kColdTogether = 2;       // sends in a fall span from all instances, at the least
 constexpr double kFurtherWeight = 0.25;   // of a further callback in a call, in calls
+constexpr double kColdCall = 2;           // most weight of a call to a cold path, in calls
 constexpr double kRoughWeight = 1 / 1.5;  // a listed weight may be half too high
 // Holding.
 constexpr double kRoomKept = 0.05;       // of the callbacks held at most
@@ -70,8 +70,6 @@
 
 double Rules::draw() { return static_cast<double>(chance_()) / 4294967296.0; }
 
-// ---- What is known ----
-
 void Rules::roundBegins(Millis now) {
   s_.now = now;
   ++s_.round;
@@ -448,7 +446,8 @@
   int most = e.kind.value < terms_.kinds.size() ? terms_.kinds[e.kind.value].perCall : 1;
   if (e.batchRound != s_.round || e.batchSize >= most) return false;
   const Path& p = s_.paths[e.path];
-  return !(p.outage || p.cold) || 1 + kFurtherWeight * e.batchSize <= terms_.fallSpan / coldSpacing(p);
+  return !(p.outage || p.cold) ||
+         1 + kFurtherWeight * e.batchSize <= std::max(kColdCall, terms_.fallSpan / coldSpacing(p));
 }
 
 bool Rules::room(const Path& p, const Endpoint& e) {
