SIGHUP rereads the configuration, spoilt answers end calls, silent clients and old endpoints end

At fault: Dispatcher::Signals took SIGTERM and SIGINT alone, and catalog and notices knew one address for good. Now both move at once, the whole list is asked for, what was not confirmed goes to the new address, and an unusable file leaves the old orders in force.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -85,6 +85,7 @@
   int failures{0};
   Millis failedAt{0};
   Millis okAt{0};
+  Millis goneAt{-1};  // not listed any more since then; -1 while it is
   Millis usedAt{-1};  // end of its last call, while a connection may be idle; -1 for none
   Millis gap{-1};     // last time from a call to the next
   Millis launchedAt{-1};
@@ -177,6 +178,28 @@
     auto at = callbacks.find(id);
     return at == callbacks.end() ? nullptr : &at->second;
   }
+  // Endpoints come and go all day under new ids. One that no list has named for so long, and that nothing
+  // held was launched at, is forgotten with its path, if that was its own, and a key with its rest.
+  void forgetGone(Millis goneFor) {
+    std::set<const Endpoint*> named(released.begin(), released.end());
+    for (const auto& [id, c] : callbacks) {
+      for (const Launch& l : c.launches) named.insert(l.endpoint);
+    }
+    for (auto at = endpoints.begin(); at != endpoints.end();) {
+      Endpoint& e = at->second;
+      e.goneAt = e.phase != Phase::gone ? -1 : e.goneAt < 0 ? now : e.goneAt;
+      if (e.goneAt < 0 || now - e.goneAt < goneFor || named.contains(&e)) {
+        ++at;
+        continue;
+      }
+      paths.erase(ownPath(e.id));
+      troubled.erase(e.id);
+      at = endpoints.erase(at);
+    }
+    std::erase_if(keys,
+                  [this](const auto& k) { return k.second.waiting.empty() && k.second.restUntil <= now; });
+  }
+  static PathId ownPath(EndpointId id) { return PathId{id.value | (std::uint64_t{1} << 63)}; }
   // A call is over, and its slot free, with the last outcome in it.
   void releaseCall(int call) {
     auto at = calls.find(call);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,7 +51,10 @@
       auto types = stonewing::readFacts(orders.settings).types.size();
       std::cout << orders.name << " at " << orders.listen << ": " << types << " traffic types\n";
     }
-    if (*serve) stonewing::net::Dispatcher(ordersFrom(path)).run();
+    if (*serve) {
+      stonewing::net::holdSignals();
+      stonewing::net::Dispatcher(ordersFrom(path), [&] { return ordersFrom(path); }).run();
+    }
   } catch (const std::exception& problem) {
     std::cerr << "stonewing: " << problem.what() << "\n";
     return 1;
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <cstring>
 
@@ -11,6 +12,7 @@
 
 constexpr std::size_t kAnswerMost = 128 * 1024;
 constexpr Millis kForever = 1e15;
+constexpr Millis kRest = 250;  // for the rest of an answer that has begun; it is written in one go
 
 Millis waitIn(const HttpLink& link) {
   auto wait = wholeNumber(link.header("X-Backoff-Ms"));
@@ -129,7 +131,8 @@
   for (auto& line : lines_) {
     for (Member& m : line->members) {
       if (m.callback != d.callback || m.launch != d.launch || m.told) continue;
-      tell(*line, m, line->lastByteWritten() ? Ending::withdrawn : Ending::notSent, false, 0);
+      tell(*line, m, line->lastByteWritten() ? unanswered(*line, Ending::withdrawn) : Ending::notSent, false,
+           0);
       bool all =
           std::all_of(line->members.begin(), line->members.end(), [](const Member& x) { return x.told; });
       if (all) release(*line);
@@ -154,18 +157,24 @@
   }
 }
 
-double Calls::limitTold(const Line& line) const {
-  std::string_view report = line.header("X-Load");
-  if (std::find(facts_.reported.begin(), facts_.reported.end(), "x1") == facts_.reported.end()) return 0;
+double limitIn(std::string_view report, const std::vector<std::string>& fields) {
+  double limit = 0;
   while (!report.empty()) {
     std::size_t comma = std::min(report.find(','), report.size());
     std::string_view item = report.substr(0, comma);
     report.remove_prefix(std::min(comma + 1, report.size()));
-    if (item.substr(0, 3) != "x1=") continue;
-    double value = std::strtod(std::string(item.substr(3)).c_str(), nullptr);
-    return std::isfinite(value) && value > 0 ? value : 0;
+    std::size_t equals = std::min(item.find('='), item.size());
+    std::string_view field = item.substr(0, equals);
+    std::string_view number = item.substr(std::min(equals + 1, item.size()));
+    double value = -1;
+    auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
+    bool known = std::find(fields.begin(), fields.end(), field) != fields.end();
+    bool whole = error == std::errc() && end == number.data() + number.size();
+    // Danger: noise taken for a limit. A report with any part that cannot be read tells nothing.
+    if (!known || !whole || !std::isfinite(value) || value < 0) return 0;
+    if (field == "x1") limit = value;
   }
-  return 0;
+  return limit;
 }
 
 void Calls::tell(Line& line, Member& m, Ending ending, bool over, Millis wait) {
@@ -182,7 +191,7 @@
   if (ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent) {
     book_.neverRan(m.callback, m.launch);
   }
-  double limit = line.status() != 0 ? limitTold(line) : 0;
+  double limit = line.status() != 0 ? limitIn(line.header("X-Load"), facts_.reported) : 0;
   bool isOver = ends || book_.find(m.callback) == nullptr;
   rules_.launchEnded(m.callback, m.launch, ending, loop_.now() - line.sent, isOver, wait, limit);
   if (ends) book_.completed(m.callback);
@@ -229,7 +238,7 @@
                     : status == 429 ? Ending::full
                     : status == 503 ? Ending::full
                                     : Ending::error;
-    rules_.probeEnded(line.endpoint, ending, limitTold(line));
+    rules_.probeEnded(line.endpoint, ending, limitIn(line.header("X-Load"), facts_.reported));
   } else if (status == 200 && line.members.size() > 1) {
     readMany(line, wait);
   } else if (status == 200) {
@@ -250,6 +259,7 @@
     tellAll(line, Ending::error);
   }
   line.members.clear();
+  line.wholeBy = -1;
   if (!line.isOpen()) release(line);
 }
 
@@ -265,20 +275,29 @@
   return false;
 }
 
-// How a call ended that brought no answer: before its last byte was written it cannot have run.
-Ending Calls::unanswered(const Line& line) const {
+// How a call ended that brought no good answer: before its last byte was written it cannot have run. A first
+// line that says 200 is true, whatever follows it. Anything else that came was spoilt by an endpoint that is
+// there and has run the call: no dead connection, of which the module would think less.
+Ending Calls::unanswered(const Line& line, Ending otherwise) const {
   if (!line.lastByteWritten()) return Ending::connectFailed;
-  bool delivered = line.status() == 200 && line.members.size() == 1;
-  return delivered ? Ending::completed : Ending::reset;
+  if (line.status() == 200 && line.members.size() == 1) return Ending::completed;
+  return line.heard() ? Ending::error : otherwise;
+}
+
+// Danger: a head that does not end, or a body that is shorter than was said, would hold the call, its slot
+// and the callback's time until its time-out.
+void Calls::begun(HttpLink& link) {
+  Line& line = static_cast<Line&>(link);
+  if (line.wholeBy < 0) line.wholeBy = loop_.now() + kRest;
 }
 
 void Calls::broke(HttpLink& link) {
   Line& line = static_cast<Line&>(link);
   if (line.probing) {
     line.probing = false;
-    rules_.probeEnded(line.endpoint, unanswered(line), 0);
+    rules_.probeEnded(line.endpoint, unanswered(line, Ending::reset), 0);
   }
-  tellAll(line, unanswered(line));
+  tellAll(line, unanswered(line, Ending::reset));
   line.members.clear();
   release(line);
 }
@@ -290,7 +309,8 @@
 void Calls::tick() {
   for (auto at = lines_.begin(); at != lines_.end();) {
     Line& line = **at++;
-    if (line.failed || loop_.now() >= connectBy(line)) {
+    bool spoilt = line.busy() && line.wholeBy >= 0 && loop_.now() >= line.wholeBy;
+    if (line.failed || spoilt || loop_.now() >= connectBy(line)) {
       broke(line);
       continue;
     }
@@ -309,7 +329,7 @@
     for (Member& m : line.members) {
       // A connection that never came up has launched nothing, and its time was not up either: not sent.
       if (!m.told && loop_.now() >= m.due) {
-        tell(line, m, line.lastByteWritten() ? Ending::timeout : Ending::notSent, false, 0);
+        tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::timeout) : Ending::notSent, false, 0);
       }
       all = all && m.told;
     }
@@ -324,6 +344,7 @@
     due = std::min(due, connectBy(*line));
     if (!line->busy()) due = std::min(due, line->usedAt + idleMost_);
     if (line->probing) due = std::min(due, line->sent + connectWithin_);
+    if (line->busy() && line->wholeBy >= 0) due = std::min(due, line->wholeBy);
     for (const Member& m : line->members) {
       if (!m.told) due = std::min(due, m.due);
     }
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -12,6 +12,9 @@
 
 namespace stonewing::net {
 
+// The limit of a load report, in calls a second; 0 where it tells none or cannot be read.
+double limitIn(std::string_view report, const std::vector<std::string>& fields);
+
 // Carries launches and probes to endpoints over HTTP/1.1 and tells the rules how each ended.
 class Calls : public HttpLink::Owner {
  public:
@@ -44,11 +47,13 @@
     std::vector<Member> members;
     bool probing{false};
     bool failed{false};  // could not even begin
+    Millis wholeBy{-1};  // an answer that has begun is to be whole by then; -1 while none has
     Millis sent{0};
     Millis usedAt{0};
   };
 
   bool mayBegin(HttpLink& link) override;
+  void begun(HttpLink& link) override;
   void answered(HttpLink& link) override;
   void broke(HttpLink& link) override;
   Line& lineTo(EndpointId endpoint);
@@ -57,8 +62,7 @@
   void tellAll(Line& line, Ending ending, bool over = false, Millis wait = 0);
   void readMany(Line& line, Millis wait);
   void release(Line& line);
-  Ending unanswered(const Line& line) const;
-  double limitTold(const Line& line) const;
+  Ending unanswered(const Line& line, Ending otherwise) const;
   Millis connectBy(const Line& line) const;
 
   Loop& loop_;
--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -92,9 +92,13 @@
       const EndpointNote& note = row.site.note;
       EndpointId id = idOf(note.name);
       rules_.listed(id, note.destination, note.kind, note.zone, row.weight, row.phase);
+      destinations_.insert(note.destination);
       sites_[id] = std::move(row.site);
     }
     rules_.listEnds(full);
+    // What the module has forgotten is not needed here either.
+    std::erase_if(sites_, [&](const auto& site) { return !rules_.state().endpoints.contains(site.first); });
+    std::erase_if(ids_, [&](const auto& name) { return !sites_.contains(name.second); });
   }
   version_ = version;
   whole_ = false;
@@ -104,11 +108,25 @@
   EndpointId id = idOf(note.name);
   if (sites_.contains(id)) return;
   sites_[id] = {note, {}, {}};
+  destinations_.insert(note.destination);
   rules_.listBegins();
   rules_.listed(id, note.destination, note.kind, note.zone, 0, Phase::gone);
   rules_.listEnds(false);
 }
 
+void Catalog::moveTo(sockaddr_in discovery, std::string host) {
+  discovery_ = discovery;
+  host_ = std::move(host);
+  if (link_) {
+    link_->close();
+    loop_.bury(std::move(link_));
+  }
+  out_ = false;
+  whole_ = true;  // the version of another teller says nothing of what was missed
+  pause_ = 0;
+  notBefore_ = loop_.now();
+}
+
 Millis Catalog::due() const { return out_ ? since_ + kWatchMillis + kOutlasts : notBefore_; }
 
 void Catalog::tick() {
@@ -143,6 +161,7 @@
     const json answer = json::parse(link.body(), nullptr, false);
     if (answer.is_discarded()) throw Malformed("not JSON");
     told(answer);
+    heard_ = true;
     pause_ = 0;
     notBefore_ = loop_.now();  // a watch goes on only when asked for again at once
   } catch (const Malformed& problem) {
--- a/src/net/catalog.h
+++ b/src/net/catalog.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -33,7 +34,12 @@
   }
   EndpointId idOf(const std::string& name);
   std::size_t count() const { return sites_.size(); }
+  // Whether it ever had an endpoint, as far as this process was told.
+  bool knows(DestinationId destination) const { return destinations_.contains(destination); }
+  bool heard() const { return heard_; }
 
+  // Discovery is to be asked at another address from now on; the list stays until that one answers.
+  void moveTo(sockaddr_in discovery, std::string host);
   void tick();  // asks anew, gives up a watch that outlasts its time
   Millis due() const;
 
@@ -55,6 +61,8 @@
   Millis pause_{0};
   bool whole_{false};  // the next question is for the whole list
   std::int64_t version_{0};
+  bool heard_{false};  // discovery itself has told a list or changes
+  std::set<DestinationId> destinations_;
   std::map<EndpointId, Site> sites_;
   std::unordered_map<std::string, EndpointId> ids_;
 };
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -77,7 +77,12 @@
       bodyAt_ = at;
       break;
     }
-    if (line.find(':') == std::string_view::npos || line.front() == ':') return Step::broken;
+    // A name is of visible characters up to the colon; noise has others.
+    std::size_t colon = line.find(':');
+    bool named = colon != std::string_view::npos && colon > 0 &&
+                 std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon),
+                             [](unsigned char c) { return c > ' ' && c < 0x7f; });
+    if (!named) return Step::broken;
   }
   if (status_ < 200) {  // interim: the real answer follows
     if (status_ == 101) return Step::broken;
@@ -246,11 +251,12 @@
   bool ended = got == Got::ended || got == Got::broken;
   if (in_.empty() && !ended) return;
   auto step = answer_.step(in_, got == Got::ended);
-  if (step == AnswerReader::Step::more && got == Got::more && in_.size() >= most_) {
-    step = AnswerReader::Step::broken;
-  }
+  // An answer may claim gigabytes and keep coming: what it claims is not waited for.
+  bool tooLong = answer_.claimed() > most_ || (got == Got::more && in_.size() >= most_);
+  if (step == AnswerReader::Step::more && tooLong) step = AnswerReader::Step::broken;
   if (step == AnswerReader::Step::more && !ended) {
     if (got == Got::more) loop_.again(fd_);
+    if (answer_.status() != 0) owner_.begun(*this);
     return;
   }
   if (step != AnswerReader::Step::whole) return fail();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -19,6 +19,8 @@
   std::string_view header(std::string_view bytes, std::string_view name) const;
   std::string_view body(std::string_view bytes) const;
   std::size_t length() const { return end_; }
+  // How long the answer will be at the least, as far as it says so.
+  std::size_t claimed() const { return bodyAt_ + (untilEnd_ ? 0 : bodyLength_); }
 
  private:
   Step firstLine(std::string_view bytes);
@@ -48,6 +50,8 @@
     virtual ~Owner() = default;
     // A connection is up. False: its exchange must not begin any more, and the owner has closed it.
     virtual bool mayBegin(HttpLink&) { return true; }
+    // The first line of the answer is whole and tells the status; the rest has yet to come, if it ever does.
+    virtual void begun(HttpLink&) {}
     virtual void answered(HttpLink& link) = 0;  // the answer is whole; the link may be used again if open()
     virtual void broke(HttpLink& link) = 0;     // with an exchange or without one; it is closed
   };
@@ -68,6 +72,8 @@
   bool isOpen() const { return fd_ >= 0; }
   bool up() const { return up_; }
   bool busy() const { return busy_; }
+  // Something came back. An answer that began and has no good end was spoilt: the call has run.
+  bool heard() const { return !in_.empty(); }
   bool lastByteWritten() const { return busy_ && up_ && out_.empty(); }
   int status() const { return answer_.status(); }
   std::string_view header(std::string_view name) const { return answer_.header(in_, name); }
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -28,6 +28,12 @@
 // A client waits 400 ms for an answer. One that leaves half a command or an answer lying for longer holds a
 // place for nothing, and a few hundred such would shut all others out.
 constexpr Millis kHalfDone = 1000;
+// A connection without a command may be closed after 2 s; clients open another when they need it. Those that
+// never say anything go first, for they come by hundreds; those that keep one for good would add up all day.
+constexpr Millis kSilent = 2200;
+constexpr Millis kIdle = 5000;
+constexpr double kSilentHaste = kIdle / kSilent;
+constexpr std::size_t kDroppedMost = 1024 * 1024;  // of what still comes behind an error
 
 // "*3\r\n" or "$12\r\n" at `at`.
 Parsed readCount(std::string_view bytes, std::size_t& at, char sign, std::size_t most, std::size_t& count) {
@@ -91,21 +97,30 @@
         break;
       }
     }
+    count();
     if (!gone_ && closing_) discard();
     if (!gone_ && intake_.leaving_) leave();
   }
 
+  // How much sooner than others it may go to make room.
+  Millis idleFor(Millis now) const { return (now - usedAt) * (spoken_ ? 1 : kSilentHaste); }
+  std::size_t holds() const { return counted_; }
   // Between commands: nothing is read that is not answered, and no answer is left to write.
   bool between() const { return in_.empty() && out_.empty() && !closing_; }
-  bool mayClose() const { return between() || (closing_ && out_.empty()); }
+  bool lingers() const { return closing_ && out_.empty(); }
+  bool mayClose() const { return between() || lingers(); }
   void leave() {
     if (between()) finish();
   }
-  // When it is to be closed, if it does not move on; -1 for no time.
-  Millis patience() const { return closing_ ? usedAt + kLinger : between() ? -1 : usedAt + kHalfDone; }
+  // When it is to be closed, if it does not move on.
+  Millis patience() const {
+    return usedAt + (closing_ ? kLinger : !between() ? kHalfDone : spoken_ ? kIdle : kSilent);
+  }
   void outOfPatience() {
-    if (closing_ || !out_.empty()) return finish();
+    if (closing_ || between() || !out_.empty()) return finish();
     refuse("-ERR half a command and no more\r\n");
+    in_ = {};
+    count();
     write();
   }
   void finish() {
@@ -119,6 +134,13 @@
     if (fd_ < 0) return;
     intake_.loop_.forget(fd_);
     ::close(std::exchange(fd_, -1));
+    in_ = {};
+    count();
+  }
+  // What it holds of a command, against the most that all may hold together.
+  void count() {
+    intake_.bytes_ += in_.size() - counted_;
+    counted_ = in_.size();
   }
   void commands(bool left) {
     std::size_t at = 0;
@@ -132,6 +154,7 @@
         break;
       }
       usedAt = intake_.loop_.now();
+      spoken_ = true;
       try {
         out_.add(intake_.answer_(words_, left));
       } catch (const Malformed& problem) {
@@ -139,7 +162,11 @@
       }
       at += used;
     }
-    in_.erase(0, closing_ ? in_.size() : at);
+    if (closing_ || at == in_.size()) {
+      in_ = {};  // with its room: most of those that are connected say nothing at any time
+    } else {
+      in_.erase(0, at);
+    }
   }
   void refuse(std::string error) {
     out_.add(std::move(error));
@@ -160,7 +187,9 @@
   void discard() {
     std::string dropped;
     Got got = readInto(fd_, dropped, kCommandMost);
+    dropped_ += dropped.size();
     if (got == Got::broken || (got == Got::ended && out_.empty())) return finish();
+    if (dropped_ > kDroppedMost) return finish();  // it goes on regardless, and each byte costs us time
     if (got == Got::more) intake_.loop_.again(fd_);
   }
 
@@ -169,6 +198,9 @@
   std::string in_;
   Outgoing out_;
   std::vector<std::string_view> words_;
+  std::size_t counted_{0};
+  std::size_t dropped_{0};
+  bool spoken_{false};
   bool closing_{false};
   bool gone_{false};
 
@@ -176,8 +208,11 @@
   Millis usedAt;
 };
 
-Intake::Intake(Loop& loop, std::size_t mostClients, Answer answer)
-    : loop_(loop), most_(std::max<std::size_t>(1, mostClients)), answer_(std::move(answer)) {}
+Intake::Intake(Loop& loop, std::size_t mostClients, std::size_t mostBytes, Answer answer)
+    : loop_(loop),
+      most_(std::max<std::size_t>(1, mostClients)),
+      mostBytes_(std::max(mostBytes, kCommandMost)),
+      answer_(std::move(answer)) {}
 
 Intake::~Intake() { stopListening(); }
 
@@ -211,11 +246,14 @@
 }
 
 // A connection may be closed between commands; clients open more when they need them. One that lingers after
-// its error may go as well.
+// its error goes first.
 bool Intake::closeIdlest() {
   Client* idlest = nullptr;
   for (auto& client : clients_) {
-    if (client->mayClose() && (idlest == nullptr || client->usedAt < idlest->usedAt)) idlest = client.get();
+    if (!client->mayClose()) continue;
+    bool later = idlest != nullptr && std::pair(client->lingers(), client->idleFor(loop_.now())) <=
+                                          std::pair(idlest->lingers(), idlest->idleFor(loop_.now()));
+    if (!later) idlest = client.get();
   }
   if (idlest != nullptr) idlest->finish();
   return idlest != nullptr;
@@ -251,20 +289,31 @@
   }
 }
 
+// Danger: a few hundred clients that each send most of a command would fill the memory. The one that began
+// first gives way.
+void Intake::shedHalfDone() {
+  while (bytes_ > mostBytes_) {
+    Client* first = nullptr;
+    for (auto& client : clients_) {
+      if (client->holds() > 0 && (first == nullptr || client->usedAt < first->usedAt)) first = client.get();
+    }
+    if (first == nullptr) return;
+    first->outOfPatience();
+  }
+}
+
 void Intake::tick() {
+  shedHalfDone();
   if (acceptAgain_ >= 0 && loop_.now() >= acceptAgain_) accept();
   for (auto at = clients_.begin(); at != clients_.end();) {
     Client& client = **at++;
-    Millis until = client.patience();
-    if (until >= 0 && loop_.now() >= until) client.outOfPatience();
+    if (loop_.now() >= client.patience()) client.outOfPatience();
   }
 }
 
 Millis Intake::due() const {
   Millis due = acceptAgain_ >= 0 ? acceptAgain_ : loop_.now() + kLinger;
-  for (const auto& client : clients_) {
-    if (Millis until = client->patience(); until >= 0) due = std::min(due, until);
-  }
+  for (const auto& client : clients_) due = std::min(due, client->patience());
   return due;
 }
 
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -24,7 +24,8 @@
   // has ended its side of the connection.
   using Answer = std::function<std::string(const std::vector<std::string_view>& words, bool left)>;
 
-  Intake(Loop& loop, std::size_t mostClients, Answer answer);
+  // mostBytes: of commands that have come in part, from all clients together.
+  Intake(Loop& loop, std::size_t mostClients, std::size_t mostBytes, Answer answer);
   ~Intake() override;
 
   void listen(const sockaddr_in& at);  // throws where the address cannot be had
@@ -41,9 +42,12 @@
   void accept();
   bool closeIdlest();
   void gone(Client& client);
+  void shedHalfDone();
 
   Loop& loop_;
   std::size_t most_;
+  std::size_t mostBytes_;
+  std::size_t bytes_{0};
   Answer answer_;
   int fd_{-1};
   bool leaving_{false};
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -101,13 +101,12 @@
 Got readInto(int fd, std::string& into, std::size_t most) {
   std::size_t part = 0;
   while (part < kTurnPart && into.size() < most) {
-    std::size_t had = into.size();
-    std::size_t room = std::min(kChunk, most - had);
-    into.resize(had + room);
-    ssize_t n = ::recv(fd, into.data() + had, room, 0);
+    // Read beside it first: whoever sends a few bytes must not cost a chunk each.
+    std::array<char, kChunk> chunk;
+    ssize_t n = ::recv(fd, chunk.data(), std::min(kChunk, most - into.size()), 0);
     int error = errno;
-    into.resize(had + static_cast<std::size_t>(std::max<ssize_t>(0, n)));
     if (n > 0) {
+      into.append(chunk.data(), static_cast<std::size_t>(n));
       part += static_cast<std::size_t>(n);
     } else if (n == 0) {
       return Got::ended;
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -38,6 +38,18 @@
   if (out_.empty() && !book_.owed().empty() && loop_.now() >= notBefore_) send();
 }
 
+void Notices::moveTo(sockaddr_in platform, std::string host) {
+  platform_ = platform;
+  host_ = std::move(host);
+  if (link_) {
+    link_->close();
+    loop_.bury(std::move(link_));
+  }
+  out_.clear();
+  pause_ = 0;
+  notBefore_ = loop_.now();
+}
+
 void Notices::send() {
   if (!link_ || !link_->isOpen() || !link_->stillGood()) {
     if (link_) loop_.bury(std::move(link_));
--- a/src/net/notices.h
+++ b/src/net/notices.h
@@ -12,6 +12,8 @@
  public:
   Notices(Loop& loop, Book& book, sockaddr_in platform, std::string host);
 
+  // The platform is at another address from now on; what it has not confirmed goes there.
+  void moveTo(sockaddr_in platform, std::string host);
   void tick();  // sends what is owed, gives up what stays unanswered
   Millis due() const;
   bool idle() const { return book_.owed().empty(); }
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <system_error>
+#include <utility>
 
 #include "core/bytes.h"
 
@@ -23,6 +24,7 @@
 constexpr Millis kLaunchFor = 2600;
 constexpr Millis kAnswersFor = 3300;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+constexpr std::size_t kMemoryForHalves = 10;  // the part of it for commands that have come in part
 constexpr std::size_t kSocketsKept = 32;  // for the journal, discovery, the platform, the log and the loop
 
 const char* nameOf(int state) {
@@ -59,6 +61,7 @@
     const json limits = file.value("limits", json::object());
     orders.sockets = limits.value("sockets", std::size_t{1024});
     orders.diskBytes = static_cast<std::size_t>(limits.value("disk_mb", 3.0) * kBytesPerMegabyte);
+    orders.memoryBytes = static_cast<std::size_t>(limits.value("memory_mb", 128.0) * kBytesPerMegabyte);
     if (!file.contains("settings")) throw Malformed("the configuration lacks 'settings'");
     orders.settings = file["settings"].dump();
     if (file.contains("known")) orders.known = file["known"].dump();
@@ -68,16 +71,29 @@
   return orders;
 }
 
-// SIGTERM and SIGINT, as events of the loop.
+namespace {
+
+sigset_t ourSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, signal);
+  return set;
+}
+
+}  // namespace
+
+void holdSignals() {
+  ::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may go away
+  sigset_t set = ourSignals();
+  ::sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
+// SIGTERM and SIGINT ask for the end, SIGHUP for the configuration to be read anew: events of the loop.
 class Dispatcher::Signals : public Source {
  public:
-  Signals(Loop& loop, bool& wanted) : loop_(loop), wanted_(wanted) {
-    ::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may go away
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    ::sigprocmask(SIG_BLOCK, &set, nullptr);
+  Signals(Loop& loop, bool& end, bool& reread) : loop_(loop), end_(end), reread_(reread) {
+    holdSignals();
+    sigset_t set = ourSignals();
     fd_ = ::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
     if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "signalfd");
     if (!loop_.watch(fd_, *this)) throw std::system_error(errno, std::generic_category(), "epoll_ctl");
@@ -88,17 +104,21 @@
   }
   void ready(std::uint32_t) override {
     signalfd_siginfo info;
-    while (::read(fd_, &info, sizeof info) == sizeof info) wanted_ = true;
+    while (::read(fd_, &info, sizeof info) == sizeof info) {
+      (info.ssi_signo == static_cast<std::uint32_t>(SIGHUP) ? reread_ : end_) = true;
+    }
   }
 
  private:
   Loop& loop_;
-  bool& wanted_;
+  bool& end_;
+  bool& reread_;
   int fd_;
 };
 
-Dispatcher::Dispatcher(const Orders& orders)
+Dispatcher::Dispatcher(const Orders& orders, std::function<Orders()> reread)
     : orders_(orders),
+      reread_(std::move(reread)),
       terms_(readFacts(orders.settings)),
       facts_(readHostFacts(orders.settings)),
       rules_(terms_, orders.seed),
@@ -107,8 +127,9 @@
       calls_(loop_, rules_, book_, catalog_, terms_, facts_, orders.sockets / 4),
       notices_(loop_, book_, needAddress(orders.discovery, "discovery"), orders.discovery),
       intake_(loop_, orders.sockets - orders.sockets / 4 - std::min(orders.sockets / 2, kSocketsKept),
+              orders.memoryBytes / kMemoryForHalves,
               [this](const auto& words, bool left) { return answer(words, left); }),
-      signals_(std::make_unique<Signals>(loop_, endWanted_)) {
+      signals_(std::make_unique<Signals>(loop_, endWanted_, rereadWanted_)) {
   needAddress(orders.listen, "listen");
 }
 
@@ -154,6 +175,7 @@
       rules_.woken();
     }
     loop_.dispatch();
+    if (std::exchange(rereadWanted_, false)) takeNewOrders();
     calls_.tick();
     catalog_.tick();
     intake_.tick();
@@ -163,6 +185,27 @@
   }
 }
 
+// Discovery and the platform may have moved. The old address closes what is open there, and what it no longer
+// tells counts as told all the same, so the new one is asked at once. The rest is for the next start.
+void Dispatcher::takeNewOrders() {
+  if (!reread_) return;
+  try {
+    Orders orders = reread_();
+    sockaddr_in discovery = needAddress(orders.discovery, "discovery");
+    if (orders.listen != orders_.listen || orders.state != orders_.state ||
+        orders.settings != orders_.settings) {
+      spdlog::warn("of the new configuration only 'discovery' is taken before the next start");
+    }
+    if (orders.discovery == orders_.discovery) return;
+    orders_.discovery = orders.discovery;
+    catalog_.moveTo(discovery, orders.discovery);
+    notices_.moveTo(discovery, orders.discovery);
+    spdlog::info("discovery is at {} now", orders.discovery);
+  } catch (const std::exception& problem) {
+    spdlog::error("the new configuration cannot be used, the old one stays: {}", problem.what());
+  }
+}
+
 void Dispatcher::move() {
   if (endWanted_ && state_ == State::serving) {
     toldToEnd_ = loop_.now();
@@ -202,6 +245,11 @@
   Millis wall = std::floor(wallNow());  // whole, so that equal spans stay equal
   Held held = book_.decode(words[1], words[2], words[3], words[4], wall);
   if (book_.holds(held.ref)) return "+OK\r\n";  // handed in again, its first answer lost
+  if (!catalog_.knows(held.destination)) {
+    // Before discovery has said anything, ours may just be an old list.
+    if (!catalog_.heard()) return "-BUSY\r\n";
+    throw Malformed("unknown dest");
+  }
   // Refused unseen, which is harmless: out of places, on the way out, or the client has not waited for us and
   // hands it in elsewhere; taken on too, it would be delivered for nothing.
   if (left || state_ > State::leaving || rules_.state().held >= terms_.heldMost) return "-BUSY\r\n";
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,7 @@
   std::uint64_t seed{};
   std::size_t sockets{};
   std::size_t diskBytes{};
+  std::size_t memoryBytes{};
   std::string settings;
   std::string known;  // a list of endpoints, in discovery's form
 };
@@ -32,10 +34,15 @@
 // Reads the start file; `get` gives the variables of the environment, empty for none. Throws Malformed.
 Orders readOrders(std::string_view text, const std::function<std::string(const char*)>& get);
 
+// Holds back the signals that a dispatcher takes as events, from now until there is one. A reload asked for
+// earlier would end the process.
+void holdSignals();
+
 // One dispatcher from its start to its exit.
 class Dispatcher {
  public:
-  explicit Dispatcher(const Orders& orders);
+  // reread: what it is told now; throws Malformed where that cannot be used.
+  explicit Dispatcher(const Orders& orders, std::function<Orders()> reread = {});
   ~Dispatcher();
   void run();
 
@@ -53,6 +60,7 @@
 
   void enter(State state);
   void restore();
+  void takeNewOrders();
   void move();
   std::string answer(const std::vector<std::string_view>& words, bool left);
   std::string submit(const std::vector<std::string_view>& words, bool left);
@@ -61,12 +69,14 @@
   Millis due() const;
 
   Orders orders_;
+  std::function<Orders()> reread_;
   DeploymentTerms terms_;
   HostFacts facts_;
   State state_{State::restoring};
   Millis toldToEnd_{0};
   Millis wakeAt_{-1};
   bool endWanted_{false};
+  bool rereadWanted_{false};
   Loop loop_;
   Rules rules_;
   Book book_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -57,6 +57,7 @@
 constexpr double kTrustGrowth = 1.1;  // by each idle connection that worked
 
 constexpr double kRoomKept = 0.05;    // of the callbacks held at most
+constexpr double kForgotten = 4;      // cold spans after which nothing of an endpoint that has gone is true
 constexpr double kTenantBurst = 2;    // seconds of a tenant's quota
 constexpr double kUrgencyStep = 0.5;  // of the promised time
 
@@ -92,8 +93,7 @@
   e.weight = weight;
   e.phase = phase;
   bool apart = kind.value < terms_.kinds.size() && terms_.kinds[kind.value].routesApart;
-  auto [at, fresh] =
-      s_.paths.try_emplace(PathId{apart ? id.value | (std::uint64_t{1} << 63) : destination.value});
+  auto [at, fresh] = s_.paths.try_emplace(apart ? InstanceState::ownPath(id) : PathId{destination.value});
   if (fresh) at->second.window = std::max(1.0, std::floor(terms_.slots * kWindowStart));
   e.path = &at->second;
   e.path->destination = e.destination;
@@ -118,6 +118,7 @@
     std::sort(d.ranking.begin(), d.ranking.end(),
               [&](const Endpoint* a, const Endpoint* b) { return place(a) < place(b); });
   }
+  s_.forgetGone(kForgotten * terms_.coldSpan);
 }
 
 void Rules::taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
@@ -397,13 +398,11 @@
 }
 
 bool Rules::pathOpen(Path& p) {
-  Millis until = std::max(p.waitUntil, p.pauseUntil);
-  wakeAt(until);
-  if (s_.now < until) return false;
+  if (!reached(std::max(p.waitUntil, p.pauseUntil))) return false;
   if (p.cold && s_.now - p.coldSince >= terms_.coldSpan) p.cold = p.told = false;
   if (!p.outage && !p.cold) return true;
   if (p.outage && terms_.mayProbe) return false;
-  wakeAt(p.cold ? std::min(p.nextPush, p.coldSince + terms_.coldSpan) : p.nextPush);
+  reached(p.cold ? std::min(p.nextPush, p.coldSince + terms_.coldSpan) : p.nextPush);
   return s_.now >= p.nextPush;
 }
 
@@ -452,8 +451,7 @@
   if (!type(c).ordered || c.key.value == 0 || !c.launches.empty()) return true;
   const KeyLine& line = s_.keys[c.key];
   if (line.waiting.empty() || line.waiting.front() != id) return false;
-  if (s_.now < line.restUntil) wakeAt(line.restUntil);
-  return s_.now >= line.restUntil;
+  return reached(line.restUntil);
 }
 
 // Further callbacks in a call weigh less than a call; to a cold path a full call would be a push of its own.
@@ -545,8 +543,10 @@
   return {Act::launch, id, e.id, static_cast<int>(c.launches.size()) - 1, span};
 }
 
-void Rules::wakeAt(Millis at) {
+// Whether that time has come; if not, we want to be woken then.
+bool Rules::reached(Millis at) {
   if (at > s_.now && (wakeWanted_ < 0 || at < wakeWanted_)) wakeWanted_ = at;
+  return s_.now >= at;
 }
 
 // A hung endpoint gives no late answer to learn from: a path with nothing answered for long since a launch
@@ -559,7 +559,7 @@
       Millis p95 = usual(p, type(c)).p95;
       Millis silent = l.sent + kSilent * std::max(p95, kDelayLeast * type(c).promised);  // a copy goes first
       if (!p.outage && p.okAt <= l.sent && s_.now >= silent) outageBegins(p, p.told);
-      wakeAt(silent);
+      reached(silent);
     }
   }
 }
@@ -567,7 +567,7 @@
 std::optional<Decision> Rules::dueAnswer() {
   for (auto& [id, c] : s_.callbacks) {
     if (c.over || c.started) continue;
-    wakeAt(c.outerLimit);
+    reached(c.outerLimit);
     bool spent = c.settled() && !c.launches.empty() && !repeatAllowed(c, nullptr);
     if (s_.now < c.outerLimit && !spent) continue;
     Decision d{Act::giveUp, id, {}, 0, 0};
@@ -628,7 +628,7 @@
       const Path& p = *l.endpoint->path;
       Millis p95 = usual(p, type(c)).p95;
       Millis stuck = l.sent + (kStuckLost + (kStuck - kStuckLost) * s_.patience) * p95;
-      wakeAt(stuck);
+      reached(stuck);
       bool overtaken = repeat && !p.outage && p.okSentAt > l.sent;
       bool lost = repeat || s_.now - l.sent > (p.outage ? kStuck : 2 * kStuck) * p95;
       if (s_.now < stuck || !(overtaken || (wanted && lost))) continue;
@@ -649,8 +649,7 @@
     if (c.launches.empty() || !c.launches.back().out || c.launches.back().withdrawn) continue;
     const Launch& l = c.launches.back();
     Millis due = l.sent + copyDelay(c, *l.endpoint, *l.endpoint->path, l.sent);
-    wakeAt(due);
-    if (s_.now < due) continue;
+    if (!reached(due)) continue;
     if (Endpoint* to = choose(c, true)) return launch(id, *to, true);
   }
   return std::nullopt;
@@ -662,15 +661,14 @@
   std::tuple<double, Millis> bestPlace;
   for (auto& [id, c] : s_.callbacks) {
     if (c.over || !c.settled() || !keyFree(id, c)) continue;
-    wakeAt(c.notBefore);
-    if (s_.now < c.notBefore) continue;
+    if (!reached(c.notBefore)) continue;
     Endpoint* to = choose(c, false);
     if (to == nullptr) continue;
     const Path& p = *to->path;
     Millis latency = usual(p, type(c)).p50;
-    Millis at = s_.now + latency;
-    double lost = gainAt(c, at) - gainAt(c, at + kUrgencyStep * type(c).promised);  // by waiting
-    auto place = std::tuple(lost / std::max(1.0, latency), -c.outerLimit);          // for a slot's time
+    auto gainIn = [&](Millis late) { return gainAt(c, s_.now + latency + late); };
+    double lost = gainIn(0) - gainIn(kUrgencyStep * type(c).promised);      // by waiting
+    auto place = std::tuple(lost / std::max(1.0, latency), -c.outerLimit);  // for a slot's time
     if (best && place <= bestPlace) continue;
     best = id;
     bestTo = to;
@@ -716,8 +714,7 @@
     bool turn = p.outage && p.endpoints[p.trialTurn % p.endpoints.size()] == &e;
     if (!turn && (p.outage || e.failures < kFailuresToAvoid)) continue;
     Millis due = std::max({p.outage || p.cold ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil});
-    wakeAt(due);
-    if (s_.now < due) continue;
+    if (!reached(due)) continue;
     if (p.outage) ++p.trialTurn;
     p.probeOut = true;
     pushed(p);
--- a/src/rules.h
+++ b/src/rules.h
@@ -78,7 +78,7 @@
   std::optional<Decision> closeIdle();
   std::optional<Decision> trial();
   std::optional<Decision> wake();
-  void wakeAt(Millis at);
+  bool reached(Millis at);
   double draw();
 
   DeploymentTerms terms_;
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -229,6 +229,7 @@
   Folder folder;
   std::uint16_t port;
   std::string config;
+  std::function<std::string(const std::string& discovery)> text;  // its configuration
   pid_t pid{-1};
 
   explicit Node(const std::string& settings, const std::string& known, const std::string& discovery,
@@ -237,11 +238,14 @@
     port = portOf(fd);
     ::close(fd);
     config = (folder.path / "config.json").string();
-    std::ofstream(config) << R"({"name":"n1","seed":"2a","listen":"127.0.0.1:)" << port
-                          << R"(","discovery":")" << discovery << R"(","state":")" << folder.path.string()
-                          << R"(","limits":)" << limits << R"(,"known":{"version":1,"full":true,"servers":)"
-                          << known << R"(},"settings":)" << settings << "}";
+    text = [=, this](const std::string& at) {
+      return R"({"name":"n1","seed":"2a","listen":"127.0.0.1:)" + std::to_string(port) +
+             R"(","discovery":")" + at + R"(","state":")" + folder.path.string() + R"(","limits":)" + limits +
+             R"(,"known":{"version":1,"full":true,"servers":)" + known + R"(},"settings":)" + settings + "}";
+    };
+    replace(text(discovery));
   }
+  void replace(const std::string& configuration) const { std::ofstream(config) << configuration; }
   ~Node() {
     if (pid > 0) end(SIGKILL);
   }
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -29,7 +29,9 @@
 std::string row(const StandIn& at, const std::string& kind = "plain",
                 const std::string& state = "in_service") {
   return R"([{"id":"s-1","addr":")" + at.address() + R"(","zone":"a","kind":")" + kind +
-         R"(","cell":7,"state":")" + state + R"(","weight":1.0,"started_ms":0}])";
+         R"(","cell":7,"state":")" + state + R"(","weight":1.0,"started_ms":0},)" +
+         // Destination 9 is there, but nothing can be delivered to it.
+         R"({"id":"s-9","addr":"127.0.0.1:9","zone":"a","kind":"plain","cell":9,"state":"terminating","weight":1.0,"started_ms":0}])";
 }
 
 // Silent on watches, and content with every notice.
@@ -293,6 +295,10 @@
                         {"HTTP/1.1 410 Gone\r\n" + none, 1, ""},
                         {"HTTP/1.1 200 OK\r\n\4", 1, ""},
                         {"HTTP/1.1 20\4", 1, "dead"},
+                        {"HTTP/1.1 200 OK\r\nX: a head that does not end", 1, ""},
+                        {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", 1, ""},
+                        {"HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nshort", 1, "dead"},
+                        {"HTTP/1.1 100 Go on\r\n\r\n" + kOk + kOk, 1, ""},
                         {"no answer at all", 1, "dead"},
                         {"\4", 1, "dead"},
                         {"", 1, "dead"}}) {
@@ -431,10 +437,87 @@
   ::close(slow);
 }
 
+// Danger: the program ends on the signal, or goes on asking, and telling, an address that is no more.
+TEST(Node, TakesANewAddressOfDiscoveryWhenToldToReread) {
+  StandIn endpoint([](auto&, auto&) { return kOk; });
+  StandIn first(platform);
+  std::string list = R"({"version":1,"full":true,"servers":)" + row(endpoint) + "}";
+  StandIn second([&](const std::string& head, const std::string& body) -> std::string {
+    if (!head.starts_with("GET /catalog/members HTTP")) return platform(head, body);
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+  });
+  endpoint.start();
+  first.start();
+  second.start();
+  Node node(kSettings, row(endpoint, "plain", "terminating"), first.address());
+  ASSERT_TRUE(node.start());
+  EXPECT_EQ(node.ask(submit("held", "c=order,d=9000,dest=7") + submit("dead", "c=order,d=900,dest=9"), 2),
+            "+OK\r\n+OK\r\n");
+  EXPECT_EQ(node.ask(submit("x", "c=order,d=900,dest=8")), "-BUSY\r\n");
+  node.replace("nonsense");
+  ::kill(node.pid, SIGHUP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(node.ask(command({"PING"})), "+PONG\r\n");
+  node.replace(node.text(second.address()));
+  ::kill(node.pid, SIGHUP);
+  EXPECT_TRUE(within(1500, [&] { return endpoint.count("X-Request-Id: held") == 1; }));
+  EXPECT_TRUE(within(1500, [&] { return second.count("\"dead\"") == 1; }));
+  EXPECT_EQ(first.count("POST /reports"), 0u);
+  // What only an old list lacks may be there; what discovery itself does not know is not.
+  EXPECT_EQ(node.ask(submit("x", "c=order,d=900,dest=8")), "-ERR unknown dest\r\n");
+  EXPECT_EQ(node.end(SIGTERM), 0);
+}
+
+// Danger: answers that never become whole hold calls until their time-outs.
+TEST(Node, WaitsForNoRestThatDoesNotCome) {
+  StandIn endpoint([](auto&, auto&) { return "HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nshort"; });
+  StandIn world(platform);
+  endpoint.start();
+  world.start();
+  Node node(kSettings, row(endpoint), world.address());
+  ASSERT_TRUE(node.start());
+  EXPECT_EQ(node.ask(submit("one", "c=order,d=9000,dest=7")), "+OK\r\n");
+  EXPECT_TRUE(within(1500, [&] { return world.count("\"one\"") == 1; }));
+}
+
+// Danger: clients that connect and say nothing, or stop in the middle of a command, by hundreds.
+TEST(Node, LetsNoSilentClientHoldAPlaceNorMuchMemory) {
+  StandIn world(platform);
+  world.start();
+  Node node(kSettings, row(world), world.address(), R"({"sockets":256,"disk_mb":3,"memory_mb":4})");
+  ASSERT_TRUE(node.start());
+  int silent = loopback(node.port, false);
+  auto began = std::chrono::steady_clock::now();
+  std::vector<int> halves;
+  for (int n = 0; n < 12; ++n) {
+    put(halves.emplace_back(loopback(node.port, false)),
+        "*5\r\n$6\r\nSUBMIT\r\n$65536\r\n" + std::string(65000, 'x'));
+  }
+  char byte;
+  EXPECT_EQ(::recv(halves.front(), &byte, 1, 0),
+            1);  // an error: it began first, and there is no room for all
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(800));
+  EXPECT_EQ(::recv(silent, &byte, 1, 0), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(3000));
+  for (int fd : halves) ::close(fd);
+  ::close(silent);
+}
+
+// Danger: noise taken for a limit.
+TEST(Reports, ThatCannotBeReadTellNothing) {
+  std::vector<std::string> fields{"x0", "x1"};
+  EXPECT_EQ(net::limitIn("x0=0.4,x1=25", fields), 25);
+  for (const char* bad : {"", "x1=25,x0=", "x1=25;x0", "x1=2e5z,x0=1", "x1=nan", "x1=-3", "y1=3,x1=4",
+                          "x1=1e999", "x1=0x20", "\x01\xff"}) {
+    EXPECT_EQ(net::limitIn(bad, fields), 0) << bad;
+  }
+}
+
 TEST(Node, AnswersBadInputOnceAndGoesOn) {
   StandIn world(platform);
   world.start();
-  Node node(kSettings, "[]", world.address(), R"({"sockets":60,"disk_mb":0.2})");
+  Node node(kSettings, row(world, "plain", "terminating"), world.address(),
+            R"({"sockets":60,"disk_mb":0.2})");
   ASSERT_TRUE(node.start());
   std::string list = "c=status,d=900,dest=7";
   for (const std::string& bad :
@@ -469,7 +552,7 @@
 TEST(Node, HeldUpItCountsATimeFromWhenTheClientSentIt) {
   StandIn world(platform);
   world.start();
-  Node node(kSettings, "[]", world.address());
+  Node node(kSettings, row(world, "plain", "terminating"), world.address());
   ASSERT_TRUE(node.start());
   ::kill(node.pid, SIGSTOP);
   auto began = std::chrono::steady_clock::now();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -416,6 +416,33 @@
   EXPECT_EQ(bed.pull(Act::launch).size(), 1u);
 }
 
+// Danger: endpoints and keys are new all day, and what is kept for each fills the memory.
+TEST(Forgetting, EndsWhatWasKeptForEndpointsAndKeysThatAreNoMore) {
+  DeploymentTerms terms = plainTerms();
+  terms.kinds = {{true, 1}};
+  terms.types[0].ordered = true;
+  Bed bed(terms, 0);
+  bed.list(1000);
+  bed.rules.listEnds(true);
+  bed.take(1);
+  Decision held = bed.pull(Act::launch).at(0);  // on a connection that is silent all day
+  for (std::uint64_t n = 1; n <= 200; ++n) {
+    bed.rules.listBegins();
+    bed.list(n);
+    bed.rules.listEnds(true);
+    bed.take(static_cast<std::uint32_t>(n) + 1, 0, n);
+    for (const Decision& d : bed.pull(Act::launch))
+      bed.end(d, n % 2 != 0 ? Ending::completed : Ending::error);
+    bed.to(bed.now + 1000);
+  }
+  const InstanceState& s = bed.rules.state();
+  EXPECT_LE(s.endpoints.size(), 43u);  // those of four cold spans, and the one with a launch out
+  EXPECT_LE(s.paths.size(), 43u);
+  EXPECT_LE(s.keys.size(), 3u);
+  EXPECT_TRUE(s.endpoints.contains(endpoint(1000)));
+  bed.end(held, Ending::reset);
+}
+
 TEST(OddInput, LateAndUnknownIdsArePassedOver) {
   Bed bed;
   bed.rules.launchEnded(CallbackId{99}, 0, Ending::completed, 10, true, 0, 0);
