--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,8 +56,9 @@
 constexpr double kColdCall = 2;           // most weight of a call to a cold path, in calls
 constexpr double kRoughWeight = 1 / 1.5;  // a listed weight may be half too high
 
-constexpr double kTrustCut = 0.35;    // of the idle time trusted, when a table is full or a connection dead
-constexpr double kTrustGrowth = 1.1;  // by each idle connection that worked
+constexpr double kTrustCut = 0.35;     // of the idle time trusted, when a table is full or a connection dead
+constexpr double kTrustLeast = 0.025;  // of the time after which an idle connection closes by itself
+constexpr double kTrustGrowth = 1.1;   // by each idle connection that worked
 
 constexpr double kRoomKept = 0.05;    // of the callbacks held at most
 constexpr double kForgotten = 4;      // cold spans after which nothing of an endpoint that has gone is true
@@ -166,20 +167,22 @@
   Callback* c = s_.find(id);
   if (c == nullptr || launch >= static_cast<int>(c->launches.size()) || !c->launches[launch].out) return;
   Launch& l = c->launches[launch];
+  Endpoint& e = *l.endpoint;
+  Path& p = *e.path;
   l.out = false;
   c->started = false;
   l.neverRan = ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent;
   s_.releaseCall(l.call);
-  l.endpoint->usedAt = s_.now;
-  if (ending == Ending::connectFailed && l.endpoint->path->okAt > s_.now - terms_.coldSpan) {
+  e.usedAt = s_.now;
+  Millis leastTrust = kTrustLeast * terms_.connectionIdle;  // connections also break that were hardly idle
+  if (ending == Ending::connectFailed && p.okAt > s_.now - terms_.coldSpan) {
     s_.idleTrusted *= kTrustCut;  // calls complete there, so its table is full
-  } else if (l.idle > 0 && ending == Ending::reset) {
+  } else if (l.idle > leastTrust && ending == Ending::reset) {
     s_.idleTrusted = std::min(s_.idleTrusted, kTrustCut * l.idle);
   } else if (l.idle > kTrustCut * s_.idleTrusted && ending == Ending::completed) {
     s_.idleTrusted = std::min(terms_.connectionIdle, kTrustGrowth * s_.idleTrusted);
   }
-  Endpoint& e = *l.endpoint;
-  Path& p = *e.path;
+  s_.idleTrusted = std::max(s_.idleTrusted, leastTrust);
   if (limit > 0) p.limitTold = limit;
   p.waitUntil = std::max(p.waitUntil, s_.now + wait);  // also where only some of a call were refused
   bool cutShort = ending == Ending::timeout && s_.now >= c->outerLimit;  // perhaps only sent late
@@ -206,15 +209,16 @@
 void Rules::woken() { s_.wakeAsked = -1; }
 
 // The callback is finished: launches still out are losers, to be withdrawn.
-void Rules::over(CallbackId id) {
+CallbackId Rules::over(CallbackId id) {
   Callback* c = s_.find(id);
-  if (c == nullptr || c->over) return;
+  if (c == nullptr || c->over) return id;
   c->over = true;
   --s_.held;
   for (std::size_t n = 0; n < c->launches.size(); ++n) {
     if (c->launches[n].out && !c->launches[n].withdrawn) s_.losers.emplace_back(id, static_cast<int>(n));
   }
   s_.forgetSettled(id, type(*c).ordered);
+  return id;
 }
 
 void Rules::addSample(Samples& samples, Millis spent) {
@@ -477,10 +481,9 @@
 
 // First in rank, the next when that one has enough: its part of the window, or failures while others work.
 Endpoint* Rules::choose(const Callback& c, bool copy) {
-  const auto& order = c.destination->ranking;
   Endpoint* best = nullptr;
   std::tuple<bool, bool, int> bestPlace;
-  for (Endpoint* to : order) {
+  for (Endpoint* to : c.destination->ranking) {
     Endpoint& e = *to;
     Path& p = *e.path;
     bool used = std::any_of(c.launches.begin(), c.launches.end(),
@@ -488,7 +491,8 @@
     if (used || !repeatAllowed(c, &e)) continue;
     if (copy && (p.outage || p.cold || p.refusals > 0 || p.window < p.callsOut + 2 || avoided(e))) continue;
     if (!joins(e) && (!pathOpen(p) || !room(p, e))) continue;
-    int enough = std::max(1, static_cast<int>(std::ceil(p.window / static_cast<double>(order.size()))));
+    int enough = std::max(
+        1, static_cast<int>(std::ceil(p.window / static_cast<double>(c.destination->ranking.size()))));
     bool has = !joins(e) && e.callsOut >= enough;
     auto place = std::tuple(avoided(e), has, has ? e.callsOut : 0);
     if (best == nullptr || place < bestPlace) {
@@ -572,9 +576,7 @@
     reached(c.outerLimit);
     bool spent = c.settled() && !c.launches.empty() && !repeatAllowed(c, nullptr);
     if (s_.now < c.outerLimit && !spent) continue;
-    Decision d{Act::giveUp, id, {}, 0, 0};
-    over(d.callback);
-    return d;
+    return Decision{Act::giveUp, over(id), {}, 0, 0};
   }
   return std::nullopt;
 }
@@ -598,9 +600,8 @@
     away = opens - s_.now;
   }
   if (least == nullptr) return std::nullopt;
-  CallbackId id = *least;
-  over(id);
-  return Decision{Act::shed, id, {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
+  return Decision{
+      Act::shed, over(*least), {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
 }
 
 std::optional<Decision> Rules::withdrawLoser() {
@@ -712,9 +713,8 @@
       continue;
     }
     ++at;
-    if (p.probeOut) continue;
     bool turn = p.outage && p.endpoints[p.trialTurn % p.endpoints.size()] == &e;
-    if (!turn && (p.outage || e.failures < kFailuresToAvoid)) continue;
+    if (p.probeOut || (!turn && (p.outage || e.failures < kFailuresToAvoid))) continue;
     Millis due = std::max({p.outage || p.cold ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil});
     if (!reached(due)) continue;
     if (p.outage) ++p.trialTurn;
--- a/src/rules.h
+++ b/src/rules.h
@@ -44,7 +44,7 @@
   bool repeatAllowed(const Callback& c, const Endpoint* to, const Launch* self = nullptr) const;
   bool shedAllowed(const Callback& c) const;
   bool keyFree(CallbackId id, const Callback& c);
-  void over(CallbackId id);
+  CallbackId over(CallbackId id);
   void addSample(Samples& samples, Millis spent);
   Spread usual(const Path& p, const TrafficType& t) const;
   Millis copyDelay(const Callback& c, const Endpoint& e, const Path& p, Millis sent) const;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -285,6 +285,20 @@
   dead.to(dead.now + 1200);
   dead.take(2);
   EXPECT_FALSE(dead.pull(Act::closeIdle).empty());  // before a launch would go out on it
+  // Connections that break while they are hardly idle, or as they come up, tell nothing of idle ones.
+  Bed broken;
+  broken.warm(20);
+  for (std::uint32_t id = 1; id <= 20; ++id) {
+    broken.to(broken.now + 50);
+    broken.take(id);
+    for (const Decision& d : broken.pull(Act::launch)) broken.end(d, Ending::reset, 10);
+  }
+  EXPECT_EQ(broken.rules.state().idleTrusted, 10000);
+  for (std::uint32_t id = 31; id <= 50; ++id) {
+    broken.take(id);
+    for (const Decision& d : broken.pull(Act::launch)) broken.end(d, Ending::connectFailed, 10);
+  }
+  EXPECT_GE(broken.rules.state().idleTrusted, 250);
 }
 
 TEST(Slots, LongOverdueLaunchesGiveWayToWaitingCallbacks) {
