--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -36,6 +36,12 @@
   if (idleMost_ > connectWithin_) idleMost_ -= connectWithin_;
 }
 
+// Danger: of several connections to an endpoint the less used stand idle for long while others are busy, and
+// the module sees the endpoint alone. It says how long one is to be trusted; each is held to that.
+Millis Calls::idleMost() const {
+  return idleMost_ < kForever ? std::min(idleMost_, rules_.state().idleTrusted) : idleMost_;
+}
+
 void Calls::launch(const Decision& d) {
   const Held* held = book_.find(d.callback);
   int call = rules_.state().callbacks.at(d.callback).launches.at(static_cast<std::size_t>(d.launch)).call;
@@ -50,6 +56,9 @@
     Line& line = lineTo(endpoint);
     line.members = std::move(members);
     line.sent = loop_.now();
+    for (const Member& m : line.members) {
+      rules_.goesOutOn(m.callback, m.launch, line.up() ? loop_.now() - line.usedAt : 0);
+    }
     // Noted before its last byte: after a kill it may have run. What cannot be noted is not sent.
     for (const Member& m : line.members) {
       if (!book_.launched(m.callback, catalog_.find(endpoint)->note, wallNow())) line.failed = true;
@@ -100,7 +109,8 @@
   }
   bool moved = best != nullptr && site != nullptr &&
                std::memcmp(&best->address, &site->address, sizeof best->address) != 0;
-  if (best != nullptr && !moved && best->stillGood()) return *best;
+  bool trusted = best != nullptr && loop_.now() < best->usedAt + idleMost();
+  if (trusted && !moved && best->stillGood()) return *best;
   if (best != nullptr) closeIdle(endpoint);
   if (lines_.size() >= mostLinks_) {
     // Room is made by the one that has stood idle for longest.
@@ -315,7 +325,7 @@
       continue;
     }
     if (!line.busy()) {
-      if (line.up() && loop_.now() >= line.usedAt + idleMost_) release(line);
+      if (line.up() && loop_.now() >= line.usedAt + idleMost()) release(line);
       continue;
     }
     if (line.probing) {
@@ -342,7 +352,7 @@
   for (const auto& line : lines_) {
     if (line->failed) return 0;
     due = std::min(due, connectBy(*line));
-    if (!line->busy()) due = std::min(due, line->usedAt + idleMost_);
+    if (!line->busy()) due = std::min(due, line->usedAt + idleMost());
     if (line->probing) due = std::min(due, line->sent + connectWithin_);
     if (line->busy() && line->wholeBy >= 0) due = std::min(due, line->wholeBy);
     for (const Member& m : line->members) {
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -71,6 +71,8 @@
   const Catalog& catalog_;
   const HostFacts& facts_;
   Millis connectWithin_;
+  Millis idleMost() const;
+
   Millis idleMost_{1e15};
   std::size_t mostLinks_;
   std::list<std::unique_ptr<Line>> lines_;
--- a/src/rules.h
+++ b/src/rules.h
@@ -23,6 +23,10 @@
              Millis outerLimit);
   // Of a callback just taken, by an earlier process; in the order of its launches.
   void launchedBefore(CallbackId id, EndpointId endpoint, Millis sent, bool neverRan);
+  // Of a launch just decided, where the host knows it: how long the connection it goes out on had been idle.
+  void goesOutOn(CallbackId id, int launch, Millis idle) {
+    if (Callback* c = s_.find(id)) c->launches.at(static_cast<std::size_t>(launch)).idle = idle;
+  }
   void answerStarted(CallbackId id, int launch);
   // limit: what the endpoint reports of its limit, in calls a second; 0 where it reports none.
   void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -285,6 +285,14 @@
   dead.to(dead.now + 1200);
   dead.take(2);
   EXPECT_FALSE(dead.pull(Act::closeIdle).empty());  // before a launch would go out on it
+  // Danger: an endpoint that is busy on one connection has others that stand idle, and those die.
+  Bed busy;
+  busy.warm(20);
+  busy.take(1);
+  Decision first = busy.pull(Act::launch).at(0);
+  busy.rules.goesOutOn(first.callback, first.launch, 2000);
+  busy.end(first, Ending::reset);
+  EXPECT_LE(busy.rules.state().idleTrusted, 1000);
   // Connections that break while they are hardly idle, or as they come up, tell nothing of idle ones.
   Bed broken;
   broken.warm(20);
