--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,6 +41,7 @@
 constexpr double kRefusalsMost = 4;    // doublings of the pause after refusals
 constexpr double kRelief = 0.35;       // of a doubling, taken back by a completion
 constexpr double kShutWait = 1.4;      // a told wait of so many fall spans is longer than any limit's span
+constexpr double kBlip = 2;            // fall spans without a completion that leave nothing cold
 constexpr double kShutSpans = 3;       // refusals alone for so many fall spans: shut
 constexpr double kRetryPause = 0.5;    // before a repeat after an error, in p50
 constexpr double kPauseFirst = 0.75;   // of the gap that our part of the limit leaves
@@ -151,9 +152,9 @@
 
 // After a restart: what was out may have run, for the rules on effects and for the count of launches.
 void Rules::launchedBefore(CallbackId id, EndpointId endpoint, Millis sent, bool neverRan) {
-  Endpoint* e = &s_.endpoints.at(endpoint);
   Callback& c = s_.callbacks.at(id);
-  c.launches.push_back({.endpoint = e, .sent = sent, .out = false, .neverRan = neverRan});
+  c.launches.push_back(
+      {.endpoint = &s_.endpoints.at(endpoint), .sent = sent, .out = false, .neverRan = neverRan});
   if (!neverRan && type(c).ordered) s_.keys[c.key].restUntil = s_.now + terms_.orderPause;
 }
 
@@ -185,12 +186,14 @@
   s_.idleTrusted = std::max(s_.idleTrusted, leastTrust);
   if (limit > 0) p.limitTold = limit;
   p.waitUntil = std::max(p.waitUntil, s_.now + wait);  // also where only some of a call were refused
+  // Sooner than any answer, on a kept connection: that one had ended, which tells nothing of the endpoint.
+  bool worn = ending == Ending::reset && l.idle > 0 && spent < usual(p, type(*c)).p50;
   bool cutShort = ending == Ending::timeout && s_.now >= c->outerLimit;  // perhaps only sent late
   if (ending == Ending::completed) {
     noteOk(p, e, l.sent, spent);
   } else if (ending == Ending::full) {
     noteRefusal(p, e, wait, l.sent);
-  } else if (ending != Ending::withdrawn && ending != Ending::notSent &&
+  } else if (ending != Ending::withdrawn && ending != Ending::notSent && !worn &&
              !(cutShort && s_.now - l.sent <= kLate * usual(p, type(*c)).p95)) {
     noteFailure(p, e, l.sent, ending);
   }
@@ -198,7 +201,7 @@
     auto line = s_.keys.find(c->key);
     if (type(*c).ordered && line != s_.keys.end()) line->second.restUntil = s_.now + terms_.orderPause;
   }
-  c->notBefore = s_.now + (l.neverRan ? 0 : kRetryPause * usual(p, type(*c)).p50);
+  c->notBefore = s_.now + (l.neverRan || worn ? 0 : kRetryPause * usual(p, type(*c)).p50);
   if (isOver || ending == Ending::completed) over(id);
   s_.forgetSettled(id, type(*c).ordered);
 }
@@ -274,7 +277,7 @@
 
 void Rules::returned(Path& p) {
   p.outage = false;
-  p.cold = true;
+  p.cold = s_.now - p.okAt > kBlip * terms_.fallSpan;
   p.coldSince = p.okCounted = s_.now;
   p.nextPush = s_.now + coldSpacing(p) * draw();
   p.okShare = 1;
@@ -299,9 +302,9 @@
     p.okCount = 1 + p.okCount * std::exp(-(s_.now - p.okCounted) / terms_.coldSpan);
     p.okCounted = s_.now;
   }
+  if (p.outage && p.told) returned(p);
   p.okAt = s_.now;
   p.okSentAt = std::max(p.okSentAt, sent);
-  if (p.outage && p.told) returned(p);
   p.outage = false;
   p.okShare += kOkSharePart * (1 - p.okShare);
   p.refusedSince = -1;
