--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -319,8 +319,7 @@
   if (p.outage) p.told = true;
   if (p.outage || p.okAt > sent) return;  // others complete: crowded or unlucky, not out
   p.okShare *= 1 - (hard ? kOkShareHard : kOkSharePart);
-  if (p.okShare > kOkShareOutage) return;
-  outageBegins(p, true);
+  if (p.okShare <= kOkShareOutage) outageBegins(p, true);
 }
 
 void Rules::noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent) {
@@ -474,8 +473,7 @@
 
 // Failing while others of its destination work: until a probe is answered or, with none allowed, for a while.
 bool Rules::avoided(const Endpoint& e) {
-  if (e.failures < kFailuresToAvoid) return false;
-  return terms_.mayProbe || s_.now < restEnds(e) || e.callsOut > 0;
+  return e.failures >= kFailuresToAvoid && (terms_.mayProbe || s_.now < restEnds(e) || e.callsOut > 0);
 }
 
 Millis Rules::restEnds(const Endpoint& e) const {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -405,6 +405,29 @@
   EXPECT_TRUE(bed.rules.state().paths.begin()->second.outage);
 }
 
+// Danger: connections that break put all destinations on a slow ramp for as long as a cold one warms.
+TEST(Returns, ConnectionsThatBreakLeaveNothingColdNorOut) {
+  Bed worn;
+  worn.warm(60);
+  for (std::uint32_t id = 1; id <= 12; ++id) {
+    worn.take(id);
+    for (const Decision& d : worn.pull(Act::launch)) {
+      worn.rules.goesOutOn(d.callback, d.launch, 100);
+      worn.end(d, Ending::reset, 1);
+    }
+  }
+  EXPECT_FALSE(worn.rules.state().paths.begin()->second.outage);
+  for (bool lasts : {false, true}) {
+    Bed bed;
+    bed.warm(60);
+    bed.breakDown();
+    bed.to(bed.now + (lasts ? 6000 : 1000));
+    for (const Decision& d : bed.pull(Act::probe)) bed.rules.probeEnded(d.endpoint, Ending::completed, 0);
+    EXPECT_FALSE(bed.rules.state().paths.begin()->second.outage);
+    EXPECT_EQ(bed.rules.state().paths.begin()->second.cold, lasts);
+  }
+}
+
 // Danger: one endpoint of several hangs, the others complete, and the path as a whole never looks silent.
 TEST(Returns, AHungEndpointGivesWayToOthersOfItsDestination) {
   Bed bed;
