A callback that is over is not looked at again once it was forgotten

Seen by the address sanitizer: launchEnded read the traffic type of a callback that over() had erased, since forgetSettled wanted to know whether it is ordered. Its key's line alone tells that.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -213,11 +213,11 @@
     troubled.insert(e.id);
   }
   // Nothing more is to be done for a callback that is over and has no launch out.
-  void forgetSettled(CallbackId id, bool ordered) {
+  void forgetSettled(CallbackId id) {
     Callback* c = find(id);
     if (c == nullptr || !c->over || !c->settled()) return;
     auto line = keys.find(c->key);
-    if (line != keys.end() && ordered) {
+    if (line != keys.end()) {
       std::erase(line->second.waiting, id);
       if (line->second.waiting.empty() && line->second.restUntil <= now) keys.erase(line);
     }
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -203,7 +203,7 @@
   }
   c->notBefore = s_.now + (l.neverRan || worn ? 0 : kRetryPause * usual(p, type(*c)).p50);
   if (isOver || ending == Ending::completed) over(id);
-  s_.forgetSettled(id, type(*c).ordered);
+  s_.forgetSettled(id);
 }
 
 void Rules::clientGone(CallbackId id) { over(id); }
@@ -220,7 +220,7 @@
   for (std::size_t n = 0; n < c->launches.size(); ++n) {
     if (c->launches[n].out && !c->launches[n].withdrawn) s_.losers.emplace_back(id, static_cast<int>(n));
   }
-  s_.forgetSettled(id, type(*c).ordered);
+  s_.forgetSettled(id);
   return id;
 }
 
