--- /dev/null
+++ b/src/lab/audit.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "lab/plan.h"
+#include "lab/trace.h"
+
+// The six rules, judged from what the far side saw and from nothing else. No clock, no files.
+namespace stonewing::lab {
+
+enum class Rule { oneAnswer = 1, noEffectTwice, drains, returns, keyOrder, waits };
+
+struct Break {
+  Rule rule{};
+  std::uint32_t callback{};  // or the destination, for the rule on returns
+  std::string text;
+  std::vector<std::size_t> events;  // their places in the trace, in order
+};
+
+// Time limits are this much longer, for what travels.
+inline constexpr Millis kAuditSlack = 50;
+
+std::vector<Break> audit(const Plan& plan, const Trace& trace);
+const char* nameOf(Rule rule);
+// A break with its events, a line each.
+std::string told(const Break& found, const Trace& trace);
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/baselines.cpp
@@ -0,0 +1,383 @@
+// The plain policies that ours is compared with, as textbooks have them. They keep the rules on effects and
+// on waits, since none could be let near a partner otherwise, and know nothing of cold returns or windows.
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+#include "core/bytes.h"
+#include "lab/policy.h"
+#include "rules.h"
+
+namespace stonewing::lab {
+namespace {
+
+enum class Choice { first, turns, twoRandom };
+
+struct Recipe {
+  const char* name;
+  Choice choice;
+  int launches;  // of a callback, copies not counted
+  bool breaker;
+  bool copies;
+};
+
+constexpr Recipe kRecipes[] = {
+    {"one-try", Choice::first, 1, false, false},
+    {"round-robin", Choice::turns, 3, true, false},
+    {"two-choices", Choice::twoRandom, 3, true, false},
+    {"free-hedge", Choice::turns, 3, false, true},
+};
+
+constexpr int kBreakerFailures = 5;
+constexpr Millis kBreakerRest = 5000;
+constexpr double kTimeoutShare = 0.5;  // of the time left, for one launch
+constexpr Millis kBackoff = 50;
+constexpr std::size_t kSamplesKept = 200;
+constexpr double kQuantile = 0.95;
+
+class Ours final : public Policy {
+ public:
+  Ours(const DeploymentTerms& terms, std::uint64_t seed) : rules_(terms, seed) {}
+  void roundBegins(Millis now) override { rules_.roundBegins(now); }
+  void list(const std::vector<ListRow>& rows, bool whole) override {
+    rules_.listBegins();
+    for (const ListRow& r : rows) rules_.listed(r.id, r.destination, KindId{0}, r.room, r.weight, r.phase);
+    rules_.listEnds(whole);
+  }
+  void taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
+             Millis outerLimit) override {
+    rules_.taken(id, type, tenant, key, destination, outerLimit);
+  }
+  void launchedBefore(CallbackId id, EndpointId endpoint, Millis sent, bool neverRan) override {
+    rules_.launchedBefore(id, endpoint, sent, neverRan);
+  }
+  void goesOutOn(CallbackId id, int launch, Millis idle) override { rules_.goesOutOn(id, launch, idle); }
+  void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
+                   double limit) override {
+    rules_.launchEnded(id, launch, ending, spent, over, wait, limit);
+  }
+  void probeEnded(EndpointId id, Ending ending, double limit) override {
+    rules_.probeEnded(id, ending, limit);
+  }
+  void clientGone(CallbackId id) override { rules_.clientGone(id); }
+  void woken() override { rules_.woken(); }
+  std::optional<Decision> next() override { return rules_.next(); }
+  bool mayBegin(CallbackId id, int launch) const override { return rules_.mayBegin(id, launch); }
+  int callOf(CallbackId id, int launch) const override {
+    return rules_.state().callbacks.at(id).launches.at(static_cast<std::size_t>(launch)).call;
+  }
+  int held() const override { return rules_.state().held; }
+
+ private:
+  Rules rules_;
+};
+
+class Textbook final : public Policy {
+ public:
+  Textbook(const Recipe& recipe, const DeploymentTerms& terms, std::uint64_t seed)
+      : recipe_(recipe), terms_(terms), chance_(static_cast<std::mt19937::result_type>(seed)) {}
+
+  void roundBegins(Millis now) override { now_ = now; }
+
+  void list(const std::vector<ListRow>& rows, bool whole) override {
+    if (whole) {
+      for (auto& [id, e] : endpoints_) e.row.phase = Phase::gone;
+    }
+    for (const ListRow& r : rows) endpoints_[r.id].row = r;
+    for (auto& [id, d] : destinations_) d.endpoints.clear();
+    for (auto& [id, e] : endpoints_) {
+      if (e.row.phase == Phase::ready) destinations_[e.row.destination].endpoints.push_back(id);
+    }
+  }
+
+  void taken(CallbackId id, TrafficTypeId type, TenantId, KeyId key, DestinationId destination,
+             Millis outerLimit) override {
+    Held& h = held_[id];
+    h.type = &terms_.types.at(type.value);
+    h.destination = destination;
+    h.outer = outerLimit;
+    h.key = h.type->ordered ? key : KeyId{};
+    if (h.key.value != 0) lines_[h.key].push_back(id);
+    changed_.insert(id);
+    ends_.insert({outerLimit, id});
+  }
+
+  void launchedBefore(CallbackId id, EndpointId endpoint, Millis sent, bool neverRan) override {
+    held_.at(id).launches.push_back({endpoint, sent, false, neverRan, 0});
+  }
+
+  void goesOutOn(CallbackId, int, Millis) override {}
+
+  void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool isOver, Millis wait,
+                   double) override {
+    auto at = held_.find(id);
+    if (at == held_.end() || !at->second.launches.at(static_cast<std::size_t>(launch)).out) return;
+    Held& h = at->second;
+    Sent& s = h.launches[static_cast<std::size_t>(launch)];
+    s.out = false;
+    s.neverRan = ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent;
+    --slots_;
+    Endpoint& e = endpoints_[s.endpoint];
+    --e.out;
+    if (wait > 0) {
+      Millis& until = destinations_[h.destination].waitUntil;
+      until = std::max(until, now_ + wait);
+    }
+    if (ending == Ending::completed) {
+      e.failures = 0;
+      sample(spent);
+    } else if (ending != Ending::withdrawn && ++e.failures >= kBreakerFailures && recipe_.breaker) {
+      e.restUntil = now_ + kBreakerRest;
+      e.failures = 0;
+    }
+    h.notBefore = now_ + kBackoff * std::exp2(static_cast<double>(h.launches.size()) - 1) * (0.5 + draw());
+    if (isOver || ending == Ending::completed) return over(id);
+    changed_.insert(id);
+    freed_ = true;
+  }
+
+  void probeEnded(EndpointId, Ending, double) override {}
+  void clientGone(CallbackId id) override { over(id); }
+  void woken() override { wakeAsked_ = -1; }
+  bool mayBegin(CallbackId id, int launch) const override {
+    auto at = held_.find(id);
+    if (at == held_.end()) return false;
+    const Sent& s = at->second.launches.at(static_cast<std::size_t>(launch));
+    return endpoints_.at(s.endpoint).row.phase == Phase::ready;
+  }
+  int callOf(CallbackId id, int launch) const override {
+    return held_.at(id).launches.at(static_cast<std::size_t>(launch)).call;
+  }
+  int held() const override { return static_cast<int>(held_.size()); }
+
+  std::optional<Decision> next() override {
+    if (!losers_.empty()) {
+      auto [id, n] = losers_.front();
+      losers_.pop_front();
+      return Decision{Act::withdraw, id, {}, n, 0};
+    }
+    while (!ends_.empty() && ends_.begin()->first <= now_) {
+      CallbackId id = ends_.begin()->second;
+      ends_.erase(ends_.begin());
+      if (held_.contains(id)) return give(id);
+    }
+    while (!later_.empty() && later_.begin()->first <= now_) {
+      changed_.insert(later_.begin()->second);
+      later_.erase(later_.begin());
+    }
+    if (freed_) {
+      changed_.insert(waiting_.begin(), waiting_.end());
+      waiting_.clear();
+      freed_ = false;
+    }
+    while (!changed_.empty()) {
+      CallbackId id = *changed_.begin();
+      changed_.erase(changed_.begin());
+      auto at = held_.find(id);
+      if (at == held_.end()) continue;
+      if (auto d = consider(id, at->second)) return d;
+    }
+    Millis due = -1;
+    for (const auto* times : {&later_, &ends_}) {
+      if (!times->empty() && (due < 0 || times->begin()->first < due)) due = times->begin()->first;
+    }
+    if (due < 0 || (wakeAsked_ >= 0 && wakeAsked_ <= due)) return std::nullopt;
+    wakeAsked_ = due;
+    return Decision{Act::wake, {}, {}, 0, due};
+  }
+
+ private:
+  struct Endpoint {
+    ListRow row;
+    int out{0};
+    int failures{0};
+    Millis restUntil{0};
+  };
+  struct Destination {
+    std::vector<EndpointId> endpoints;
+    Millis waitUntil{0};
+    std::size_t turn{0};
+  };
+  struct Sent {
+    EndpointId endpoint{};
+    Millis at{};
+    bool out{true};
+    bool neverRan{false};
+    int call{};
+  };
+  struct Held {
+    const TrafficType* type{};
+    DestinationId destination{};
+    KeyId key{};
+    Millis outer{};
+    Millis notBefore{0};
+    bool copied{false};
+    std::vector<Sent> launches;
+  };
+
+  double draw() { return static_cast<double>(chance_()) / 4294967296.0; }
+
+  void sample(Millis spent) {
+    if (samples_.size() < kSamplesKept) {
+      samples_.push_back(spent);
+    } else {
+      samples_[chance_() % kSamplesKept] = spent;
+    }
+    if (samples_.size() % 16 != 0) return;
+    std::vector<Millis> sorted = samples_;
+    auto place = sorted.begin() + static_cast<std::ptrdiff_t>(static_cast<double>(sorted.size()) * kQuantile);
+    std::nth_element(sorted.begin(), place, sorted.end());
+    p95_ = *place;
+  }
+
+  void over(CallbackId id) {
+    auto at = held_.find(id);
+    if (at == held_.end()) return;
+    for (std::size_t n = 0; n < at->second.launches.size(); ++n) {
+      Sent& s = at->second.launches[n];
+      if (!s.out) continue;
+      --slots_;
+      --endpoints_[s.endpoint].out;
+      losers_.emplace_back(id, static_cast<int>(n));
+    }
+    if (at->second.key.value != 0) {
+      auto& line = lines_[at->second.key];
+      std::erase(line, id);
+      if (!line.empty()) changed_.insert(line.front());
+      if (line.empty()) lines_.erase(at->second.key);
+    }
+    held_.erase(at);
+    freed_ = true;
+  }
+
+  Decision give(CallbackId id) {
+    over(id);
+    return {Act::giveUp, id, {}, 0, 0};
+  }
+
+  bool repeatAllowed(const Held& h, EndpointId to) {
+    for (const Sent& s : h.launches) {
+      if (s.neverRan || h.type->effect == Effect::pure) continue;
+      if (h.type->effect == Effect::effectful || now_ >= s.at + 0.9 * h.type->repeatWindow) return false;
+      if (h.type->zoneGroup && endpoints_[s.endpoint].row.room != endpoints_[to].row.room) return false;
+    }
+    return true;
+  }
+
+  std::optional<Decision> consider(CallbackId id, Held& h) {
+    bool out = std::any_of(h.launches.begin(), h.launches.end(), [](const Sent& s) { return s.out; });
+    if (out && !recipe_.copies) return std::nullopt;
+    if (out && (h.copied || h.type->effect == Effect::effectful)) return std::nullopt;
+    if (out) {
+      Millis due = h.launches.back().at + (p95_ > 0 ? p95_ : 0.6 * h.type->promised);
+      if (due > now_) {
+        later_.insert({due, id});
+        return std::nullopt;
+      }
+    }
+    if (h.key.value != 0 && lines_[h.key].front() != id) return std::nullopt;
+    int repeats = static_cast<int>(h.launches.size()) - (h.copied ? 1 : 0);
+    if (!out && repeats >= std::min(recipe_.launches, terms_.launchesMost)) return give(id);
+    if (h.notBefore > now_) {
+      later_.insert({h.notBefore, id});
+      return std::nullopt;
+    }
+    Destination& d = destinations_[h.destination];
+    if (d.waitUntil > now_) {
+      later_.insert({d.waitUntil, id});
+      return std::nullopt;
+    }
+    if (slots_ >= terms_.slots) {
+      waiting_.insert(id);
+      return std::nullopt;
+    }
+    auto to = choose(h, d, out);
+    if (!to) {
+      bool may = std::any_of(d.endpoints.begin(), d.endpoints.end(),
+                             [&](EndpointId e) { return repeatAllowed(h, e); });
+      if (out) return std::nullopt;
+      if (!may && !h.launches.empty()) return give(id);
+      later_.insert({now_ + kBackoff, id});
+      return std::nullopt;
+    }
+    h.copied = h.copied || out;
+    ++slots_;
+    ++endpoints_[*to].out;
+    h.launches.push_back({*to, now_, true, false, nextCall_++});
+    if (recipe_.copies && !h.copied) later_.insert({now_ + std::max(p95_, 1.0), id});
+    bool last = static_cast<int>(h.launches.size()) >= recipe_.launches;
+    Millis left = h.outer - now_;
+    return Decision{Act::launch, id, *to, static_cast<int>(h.launches.size()) - 1,
+                    last ? left : std::min(left, std::max(h.type->promised, kTimeoutShare * left))};
+  }
+
+  std::optional<EndpointId> choose(const Held& h, Destination& d, bool copy) {
+    std::vector<EndpointId> may;
+    for (EndpointId id : d.endpoints) {
+      bool used =
+          std::any_of(h.launches.begin(), h.launches.end(), [&](const Sent& s) { return s.endpoint == id; });
+      if ((copy && used) || endpoints_[id].restUntil > now_ || !repeatAllowed(h, id)) continue;
+      may.push_back(id);
+    }
+    if (may.empty()) return std::nullopt;
+    switch (recipe_.choice) {
+      case Choice::first:
+        return may[chance_() % may.size()];
+      case Choice::turns:
+        return may[d.turn++ % may.size()];
+      case Choice::twoRandom: {
+        EndpointId a = may[chance_() % may.size()];
+        EndpointId b = may[chance_() % may.size()];
+        return endpoints_[a].out <= endpoints_[b].out ? a : b;
+      }
+    }
+    return std::nullopt;
+  }
+
+  const Recipe& recipe_;
+  DeploymentTerms terms_;
+  std::mt19937 chance_;
+  Millis now_{0};
+  Millis p95_{0};
+  Millis wakeAsked_{-1};
+  int slots_{0};
+  int nextCall_{1};
+  bool freed_{false};
+  std::vector<Millis> samples_;
+  std::map<EndpointId, Endpoint> endpoints_;
+  std::map<DestinationId, Destination> destinations_;
+  std::map<CallbackId, Held> held_;
+  std::map<KeyId, std::deque<CallbackId>> lines_;
+  std::set<CallbackId> changed_;
+  std::set<CallbackId> waiting_;  // for a slot
+  std::set<std::pair<Millis, CallbackId>> later_;
+  std::set<std::pair<Millis, CallbackId>> ends_;
+  std::deque<std::pair<CallbackId, int>> losers_;
+};
+
+}  // namespace
+
+std::unique_ptr<Policy> policyNamed(const std::string& name, const DeploymentTerms& terms,
+                                    std::uint64_t seed) {
+  if (name == "ours") return std::make_unique<Ours>(terms, seed);
+  for (const Recipe& r : kRecipes) {
+    if (name == r.name) return std::make_unique<Textbook>(r, terms, seed);
+  }
+  std::string known;
+  for (const std::string& n : policyNames()) known += (known.empty() ? "" : ", ") + n;
+  throw Malformed("there is no policy '" + name + "'; there are " + known);
+}
+
+const std::vector<std::string>& policyNames() {
+  static const std::vector<std::string> names = [] {
+    std::vector<std::string> all{"ours"};
+    for (const Recipe& r : kRecipes) all.emplace_back(r.name);
+    return all;
+  }();
+  return names;
+}
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/fleet.cpp
@@ -0,0 +1,199 @@
+#include "lab/fleet.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <system_error>
+
+namespace stonewing::lab {
+
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+Process::Process(std::string binary, std::string folder)
+    : binary_(std::move(binary)), folder_(std::move(folder)) {
+  fs::create_directories(folder_ + "/state");
+}
+
+Process::~Process() {
+  if (pid_ <= 0) return;
+  ::kill(pid_, SIGCONT);
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+}
+
+void Process::configure(const std::string& text) const {
+  std::ofstream out(folder_ + "/config.json", std::ios::binary);
+  out << text;
+}
+
+void Process::start() {
+  if (running()) return;
+  expected_ = false;
+  std::string config = folder_ + "/config.json";
+  std::string log = folder_ + "/log.txt";
+  const char* arguments[] = {binary_.c_str(), "serve", "--config", config.c_str(), nullptr};
+  pid_t parent = ::getpid();
+  pid_t pid = ::fork();
+  if (pid < 0) throw std::system_error(errno, std::generic_category(), "fork");
+  if (pid == 0) {
+    // Ended with us, whatever becomes of us, and not by a Ctrl-C that is meant for us.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != parent) ::_exit(127);
+    ::setpgid(0, 0);
+    sigset_t none;
+    sigemptyset(&none);
+    ::sigprocmask(SIG_SETMASK, &none, nullptr);
+    int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    if (out >= 0) {
+      ::dup2(out, 1);
+      ::dup2(out, 2);
+    }
+    ::execv(arguments[0], const_cast<char**>(arguments));
+    ::_exit(127);
+  }
+  pid_ = pid;
+}
+
+void Process::signal(int number) const {
+  if (pid_ > 0) ::kill(pid_, number);
+}
+
+void Process::limitFiles(bool on) const {
+  if (pid_ <= 0) return;
+  std::error_code none;
+  auto size = fs::file_size(folder_ + "/state/journal", none);
+  rlimit limit{};
+  ::prlimit(pid_, RLIMIT_FSIZE, nullptr, &limit);
+  limit.rlim_cur = on && !none ? size : limit.rlim_max;
+  ::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
+}
+
+bool Process::running() {
+  if (pid_ <= 0) return false;
+  int status = 0;
+  if (::waitpid(pid_, &status, WNOHANG) != pid_) return true;
+  pid_ = -1;
+  bool good = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  if (!good && !expected_) crashed_ = true;
+  return false;
+}
+
+Usage Process::usage() const {
+  Usage u;
+  if (pid_ <= 0) return u;
+  std::string proc = "/proc/" + std::to_string(pid_);
+  std::ifstream stat(proc + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+  std::string skipped;
+  for (int n = 0; n < 11; ++n) fields >> skipped;
+  double user = 0, system = 0;
+  fields >> user >> system;
+  u.cpuSeconds = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  std::ifstream statm(proc + "/statm");
+  double total = 0, resident = 0;
+  statm >> total >> resident;
+  u.residentMegabytes = resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+  std::error_code none;
+  for (auto at = fs::directory_iterator(proc + "/fd", none); !none && at != fs::directory_iterator();
+       at.increment(none)) {
+    ++u.descriptors;
+  }
+  for (auto at = fs::directory_iterator(folder_ + "/state", none); !none && at != fs::directory_iterator();
+       at.increment(none)) {
+    std::error_code lost;
+    auto size = at->file_size(lost);
+    if (!lost) u.diskKilobytes += static_cast<double>(size) / 1000;
+  }
+  return u;
+}
+
+std::string configurationOf(const Plan& plan, int dispatcher, const std::string& listen,
+                            const std::string& discovery, const std::string& state,
+                            const std::string& known) {
+  constexpr double kSecond = 1000;
+  json types = json::array();
+  for (const TypePlan& t : plan.types) {
+    json row{{"name", t.name},
+             {"aim-s", t.terms.promised / kSecond},
+             {"deadline-s", t.terms.outer / kSecond},
+             {"importance", t.terms.gain},
+             {"late-worth", t.terms.lateShare},
+             {"keep-order", t.terms.ordered}};
+    row["effect"] = t.terms.effect == Effect::pure        ? "safe"
+                    : t.terms.effect == Effect::receipted ? "keyed"
+                                                          : "unsafe";
+    if (t.terms.effect == Effect::receipted) {
+      row["group"] = t.terms.zoneGroup ? "zone" : "all";
+      row["repeat-window-s"] = t.terms.repeatWindow / kSecond;
+    }
+    types.push_back(row);
+  }
+  json tenants = json::array();
+  for (int n = 0; n < plan.load.tenants; ++n) {
+    tenants.push_back({{"name", "tenant-" + std::to_string(n)}, {"quota-per-s", plan.load.quotaPerSecond}});
+  }
+  DeploymentTerms terms = plan.terms(dispatcher);
+  json settings{{"request-classes", types},
+                {"orgs", tenants},
+                {"over-share-worth", terms.overShareGain},
+                {"kinds", {"partner"}},
+                {"zones", plan.world.rooms},
+                {"zone", terms.zone.value},
+                {"replicas-of-me", terms.instances},
+                {"me", terms.me},
+                {"family-info",
+                 {{"call-slots", terms.slots},
+                  {"decay", "linear"},
+                  {"kind-apart", {false}},
+                  {"per-call", {plan.world.perCall}}}},
+                {"limits",
+                 {{"open-cap", terms.heldMost},
+                  {"max-attempts", terms.launchesMost},
+                  {"may-duplicate", terms.mayCopy},
+                  {"cancel", terms.mayWithdraw},
+                  {"probes", terms.mayProbe},
+                  {"retry-after", terms.shedAdvice},
+                  {"max-retry-after-s", terms.longestAdvice / kSecond},
+                  {"conn-idle-s", terms.connectionIdle / kSecond},
+                  {"connect-timeout-s", plan.fleet.connectWithin / kSecond}}},
+                {"rules",
+                 {{"cold-from", terms.coldFrom},
+                  {"cold-s", terms.coldSpan / kSecond},
+                  {"fall-multiple", terms.fallMultiple},
+                  {"fall-s", terms.fallSpan / kSecond},
+                  {"drain-grace-s", plan.world.drainGrace / kSecond},
+                  {"answer-slack-s", plan.world.answerSlack / kSecond},
+                  {"order-pause-s", terms.orderPause / kSecond}}}};
+  if (plan.world.reports) settings["report"] = {{"fields", {"x1"}}};
+  char seed[20];
+  std::snprintf(
+      seed, sizeof seed, "%llx",
+      static_cast<unsigned long long>(plan.seed * 1000003 + static_cast<std::uint64_t>(dispatcher)));
+  json file{{"name", "n" + std::to_string(dispatcher)},
+            {"listen", listen},
+            {"discovery", discovery},
+            {"state", state},
+            {"seed", seed},
+            {"limits",
+             {{"sockets", plan.fleet.sockets},
+              {"memory_mb", plan.fleet.memoryMegabytes},
+              {"disk_mb", plan.fleet.diskMegabytes}}},
+            {"known", json::parse(known)},
+            {"settings", settings}};
+  return file.dump(1);
+}
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/policy.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/decision.h"
+#include "core/ids.h"
+#include "core/terms.h"
+
+// What decides for one dispatcher of the model: the product's own module, or one of the plain policies that
+// it is compared with. Those are baselines of the laboratory; the dispatcher has none of them.
+namespace stonewing::lab {
+
+struct ListRow {
+  EndpointId id{};
+  DestinationId destination{};
+  ZoneId room{};
+  double weight{1};
+  Phase phase{Phase::ready};
+};
+
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual void roundBegins(Millis now) = 0;
+  virtual void list(const std::vector<ListRow>& rows, bool whole) = 0;
+  virtual void taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
+                     Millis outerLimit) = 0;
+  virtual void launchedBefore(CallbackId id, EndpointId endpoint, Millis sent, bool neverRan) = 0;
+  virtual void goesOutOn(CallbackId id, int launch, Millis idle) = 0;
+  virtual void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
+                           double limit) = 0;
+  virtual void probeEnded(EndpointId id, Ending ending, double limit) = 0;
+  virtual void clientGone(CallbackId id) = 0;
+  virtual void woken() = 0;
+  virtual std::optional<Decision> next() = 0;
+  virtual bool mayBegin(CallbackId id, int launch) const = 0;
+  virtual int callOf(CallbackId id, int launch) const = 0;  // launches of one call share its number
+  virtual int held() const = 0;
+};
+
+// "ours", or a baseline by its name. Throws Malformed with the names there are.
+std::unique_ptr<Policy> policyNamed(const std::string& name, const DeploymentTerms& terms,
+                                    std::uint64_t seed);
+const std::vector<std::string>& policyNames();
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/report.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/audit.h"
+#include "lab/run.h"
+#include "lab/tally.h"
+
+namespace stonewing::lab {
+
+// One line of a report: the same day by one policy or build.
+struct Row {
+  std::string name;
+  Tally tally;
+  std::size_t breaks{0};
+};
+
+struct Report {
+  const Plan& plan;
+  std::uint64_t seed{};
+  std::string how;  // "sockets" or "model", and by what
+  const Trace& trace;
+  Tally tally;
+  std::vector<Break> breaks;
+  std::vector<Row> beside;        // the model, the baselines
+  const Played* played{nullptr};  // of a day on sockets
+};
+
+// Writes result.json, series.csv, the trace, resources.csv and report.html with its plots into a folder,
+// which is made where it is missing. Returns what was left out and why, empty where nothing was.
+std::string writeReport(const Report& report, const std::string& folder, const std::string& planText);
+
+// The figures alone, as JSON text.
+std::string resultText(const Report& report);
+// A table of rows for a terminal.
+std::string tableOf(const std::vector<Row>& rows);
+
+// Draws lines over x; false where gnuplot cannot be run.
+struct Line {
+  std::string title;
+  std::vector<std::pair<double, double>> points;
+};
+struct Figure {
+  std::string title, x, y;
+  bool logY{false};
+  bool zeroLine{false};
+  bool dots{false};
+  std::vector<Line> lines;
+  std::vector<std::pair<double, double>> shaded;  // spans of x
+};
+bool draw(const Figure& figure, const std::string& svgPath);
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/server.cpp
@@ -0,0 +1,226 @@
+#include "lab/server.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+#include <utility>
+
+#include "net/http.h"
+
+namespace stonewing::lab {
+namespace {
+
+constexpr std::size_t kRequestMost = 4 * 1024 * 1024;
+constexpr int kBacklog = 1024;
+
+sockaddr_in placeOf(const std::string& host, std::uint16_t port) {
+  sockaddr_in at{};
+  at.sin_family = AF_INET;
+  at.sin_port = htons(port);
+  ::inet_pton(AF_INET, host.c_str(), &at.sin_addr);
+  return at;
+}
+
+}  // namespace
+
+std::string_view Request::header(std::string_view name) const {
+  std::string_view rest = head;
+  while (!rest.empty()) {
+    std::size_t feed = std::min(rest.find("\r\n"), rest.size());
+    std::string_view line = rest.substr(0, feed);
+    rest.remove_prefix(std::min(rest.size(), feed + 2));
+    if (line.size() <= name.size() || line[name.size()] != ':') continue;
+    if (::strncasecmp(line.data(), name.data(), name.size()) != 0) continue;
+    line.remove_prefix(name.size() + 1);
+    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    return line;
+  }
+  return {};
+}
+
+Served::Served(net::Loop& loop, Server& server, int fd) : loop_(loop), server_(server), fd_(fd) {}
+
+Served::~Served() {
+  if (fd_ < 0) return;
+  loop_.forget(fd_);
+  ::close(fd_);
+}
+
+void Served::ready(std::uint32_t) {
+  if (deaf_) return;
+  write();
+  if (fd_ >= 0) read();
+}
+
+void Served::read() {
+  net::Got got = net::readInto(fd_, in_, kRequestMost);
+  while (!busy_ && fd_ >= 0) {
+    std::size_t end = in_.find("\r\n\r\n");
+    if (end == std::string::npos) break;
+    Request request;
+    std::size_t line = in_.find("\r\n");
+    std::size_t first = in_.find(' ');
+    std::size_t second = in_.find(' ', first + 1);
+    request.method = in_.substr(0, first);
+    request.target = in_.substr(first + 1, second - first - 1);
+    request.head = in_.substr(std::min(line + 2, end), end - std::min(line + 2, end));
+    std::size_t length = net::wholeNumber(request.header("Content-Length")).value_or(0);
+    if (in_.size() < end + 4 + length) break;
+    request.body = in_.substr(end + 4, length);
+    in_.erase(0, end + 4 + length);
+    busy_ = true;
+    server_.owner_.asked(server_, *this, std::move(request));
+  }
+  if (fd_ < 0) return;
+  if (got == net::Got::ended || got == net::Got::broken) return end();
+  if (got == net::Got::more) loop_.again(fd_);
+}
+
+void Served::end() {
+  if (fd_ < 0) return;
+  loop_.forget(fd_);
+  ::close(std::exchange(fd_, -1));
+  server_.gone(*this);
+}
+
+void Served::reset() {
+  if (fd_ < 0) return;
+  linger now{1, 0};
+  ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  end();
+}
+
+void Served::deaf(bool on) {
+  deaf_ = on;
+  if (!on && fd_ >= 0) loop_.again(fd_);
+}
+
+void Served::answer(std::string bytes, bool thenClose) {
+  if (fd_ < 0) return;
+  busy_ = false;
+  closing_ = thenClose;
+  out_.add(std::move(bytes));
+  if (deaf_) return;
+  write();
+  if (fd_ >= 0 && !in_.empty()) loop_.again(fd_);
+}
+
+void Served::write() {
+  if (out_.empty()) return;
+  auto wrote = out_.write(fd_);
+  if (wrote == net::Outgoing::Wrote::broken) return end();
+  if (wrote == net::Outgoing::Wrote::all && closing_) end();
+}
+
+Server::Server(net::Loop& loop, Owner& owner, const std::string& host)
+    : loop_(loop), owner_(owner), host_(host) {
+  listen(kBacklog);
+}
+
+Server::~Server() {
+  stop();
+  for (int fd : fillers_) ::close(fd);
+}
+
+std::string Server::address() const { return host_ + ":" + std::to_string(port_); }
+
+void Server::listen(int backlog) {
+  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int on = 1;
+  ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in at = placeOf(host_, port_);
+  if (fd_ < 0 || ::bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 ||
+      ::listen(fd_, backlog) != 0 || !loop_.watch(fd_, *this)) {
+    throw std::system_error(errno, std::generic_category(), "cannot listen at " + address());
+  }
+  socklen_t size = sizeof at;
+  ::getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+  port_ = ntohs(at.sin_port);
+}
+
+void Server::stop() {
+  if (fd_ < 0) return;
+  loop_.forget(fd_);
+  ::close(std::exchange(fd_, -1));
+}
+
+void Server::ready(std::uint32_t) {
+  if (vanished_) return;
+  while (fd_ >= 0) {
+    int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) return;
+    int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    auto served = std::make_unique<Served>(loop_, *this, fd);
+    if (!loop_.watch(fd, *served)) continue;
+    open_.push_back(std::move(served));
+    Served& kept = *open_.back();
+    if (!owner_.opened(*this, kept)) {
+      kept.reset();
+    } else {
+      loop_.again(fd);
+    }
+  }
+}
+
+void Server::gone(Served& served) {
+  auto at = std::find_if(open_.begin(), open_.end(), [&](const auto& s) { return s.get() == &served; });
+  if (at == open_.end()) return;
+  std::unique_ptr<Served> kept = std::move(*at);
+  open_.erase(at);
+  owner_.closed(*this, *kept);
+  loop_.bury(std::move(kept));
+}
+
+void Server::refuse(bool on) {
+  if (refusing_ == on) return;
+  refusing_ = on;
+  if (on) {
+    stop();
+    while (!open_.empty()) open_.front()->reset();
+  } else if (!shut_) {
+    listen(kBacklog);
+  }
+}
+
+void Server::shut(bool on) {
+  if (shut_ == on) return;
+  shut_ = on;
+  if (refusing_) return;
+  if (on) {
+    stop();
+  } else {
+    listen(kBacklog);
+  }
+}
+
+// With the queue of new connections full the kernel answers none any more, as if nobody were there.
+void Server::vanish(bool on) {
+  if (vanished_ == on) return;
+  vanished_ = on;
+  for (auto& served : open_) served->deaf(on);
+  if (fd_ < 0) return;
+  if (!on) {
+    for (int fd : std::exchange(fillers_, {})) ::close(fd);
+    ::listen(fd_, kBacklog);
+    loop_.again(fd_);
+    return;
+  }
+  ::listen(fd_, 0);
+  for (int n = 0; n < 3; ++n) {
+    int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    sockaddr_in at = placeOf(host_, port_);
+    if (fd < 0) break;
+    (void)!::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at);
+    fillers_.push_back(fd);
+  }
+}
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/trace.cpp
@@ -0,0 +1,144 @@
+#include "lab/trace.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <fstream>
+#include <string_view>
+
+#include "core/bytes.h"
+
+namespace stonewing::lab {
+namespace {
+
+constexpr std::array kNames{"handed-in",
+                            "taken",
+                            "busy",
+                            "failed",
+                            "unanswered",
+                            "arrived",
+                            "replied",
+                            "abandoned",
+                            "effect",
+                            "probed",
+                            "refused-connect",
+                            "noticed",
+                            "told",
+                            "up",
+                            "down",
+                            "out",
+                            "back",
+                            "fell"};
+
+std::ofstream opened(const std::string& path) {
+  std::ofstream out(path, std::ios::binary);
+  if (!out) throw Malformed("cannot write " + path);
+  return out;
+}
+
+// Reads a line's fields one after the other.
+class Fields {
+ public:
+  Fields(std::string_view line, const std::string& file, std::size_t number)
+      : rest_(line), file_(file), number_(number) {}
+  std::string_view word() {
+    if (done_) fail("a field is missing");
+    std::size_t comma = rest_.find(',');
+    std::string_view field = rest_.substr(0, comma);
+    done_ = comma == std::string_view::npos;
+    rest_.remove_prefix(done_ ? rest_.size() : comma + 1);
+    return field;
+  }
+  template <class T>
+  T number() {
+    std::string_view field = word();
+    T value{};
+    auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), value);
+    if (error != std::errc() || end != field.data() + field.size()) {
+      fail("'" + std::string(field) + "' is not a number");
+    }
+    return value;
+  }
+  void end() const {
+    if (!done_) fail("there are more fields than columns");
+  }
+  [[noreturn]] void fail(const std::string& what) const {
+    throw Malformed(file_ + ":" + std::to_string(number_) + ": " + what);
+  }
+
+ private:
+  std::string_view rest_;
+  const std::string& file_;
+  std::size_t number_;
+  bool done_{false};
+};
+
+template <class Row>
+void eachLine(const std::string& path, Row row) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw Malformed("cannot read " + path + "; a folder of `stonewing_lab run` or `model` has it");
+  std::string line;
+  for (std::size_t number = 1; std::getline(in, line); ++number) {
+    if (number == 1) continue;
+    Fields fields(line, path, number);
+    row(fields);
+    fields.end();
+  }
+}
+
+}  // namespace
+
+const char* nameOf(What what) { return kNames.at(static_cast<std::size_t>(what)); }
+
+void save(const Trace& trace, const std::string& folder) {
+  std::ofstream events = opened(folder + "/events.csv");
+  events << "at_ms,what,callback,call,endpoint,dispatcher,status,span_ms,ran\n";
+  char row[160];
+  for (const Event& e : trace.events) {
+    std::snprintf(row, sizeof row, "%.4f,%s,%u,%u,%u,%u,%d,%.4f,%d\n", e.at, nameOf(e.what), e.callback,
+                  e.call, e.endpoint, e.dispatcher, e.status, e.span, e.ran ? 1 : 0);
+    events << row;
+  }
+  std::ofstream callbacks = opened(folder + "/callbacks.csv");
+  callbacks << "origin,type,tenant,destination,key,due_ms\n";
+  for (const Handed& c : trace.callbacks) {
+    std::snprintf(row, sizeof row, "%u,%u,%u,%u,%u,%.4f\n", c.origin, c.type, c.tenant, c.destination, c.key,
+                  c.due);
+    callbacks << row;
+  }
+  if (!events.flush() || !callbacks.flush()) throw Malformed("no room to write the trace in " + folder);
+}
+
+Trace loadTrace(const std::string& folder) {
+  Trace trace;
+  eachLine(folder + "/callbacks.csv", [&](Fields& in) {
+    Handed c;
+    c.origin = in.number<std::uint32_t>();
+    c.type = in.number<std::uint16_t>();
+    c.tenant = in.number<std::uint16_t>();
+    c.destination = in.number<std::uint16_t>();
+    c.key = in.number<std::uint32_t>();
+    c.due = in.number<double>();
+    trace.callbacks.push_back(c);
+  });
+  eachLine(folder + "/events.csv", [&](Fields& in) {
+    Event e;
+    e.at = in.number<double>();
+    std::string_view name = in.word();
+    std::size_t place = 0;
+    while (place < kNames.size() && name != kNames[place]) ++place;
+    if (place == kNames.size()) in.fail("'" + std::string(name) + "' is not a kind of event");
+    e.what = static_cast<What>(place);
+    e.callback = in.number<std::uint32_t>();
+    e.call = in.number<std::uint32_t>();
+    e.endpoint = in.number<std::uint32_t>();
+    e.dispatcher = in.number<std::uint16_t>();
+    e.status = in.number<std::int16_t>();
+    e.span = in.number<double>();
+    e.ran = in.number<int>() != 0;
+    trace.events.push_back(e);
+  });
+  return trace;
+}
+
+}  // namespace stonewing::lab
--- /dev/null
+++ b/src/lab/trace.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "lab/plan.h"
+
+// What was seen at the far side of the dispatchers: by clients, endpoints and the platform. The audit and the
+// reports are made from it alone.
+namespace stonewing::lab {
+
+enum class What : std::uint8_t {
+  handedIn,        // a client's command has gone out; span: how long it may still be delivered
+  taken,           // +OK
+  busy,            // -BUSY; span: the time to come back, 0 for none
+  failed,          // an error, or a connection that ended
+  unanswered,      // nothing within the client's patience
+  arrived,         // the last byte of a launch has come to an endpoint; call: its number
+  replied,         // its answer is written; status, span: the wait in it, ran: whether it has run
+  abandoned,       // its connection ended from the dispatcher's side; ran: whether it has run, or may yet
+  effect,          // it took effect (a repeat within its receipt's window takes none)
+  probed,          // a probe has come; status: what it is answered, 0 for nothing
+  refusedConnect,  // a connection was refused or not taken
+  noticed,         // the platform has a notice; status 1: given up, 2: shed with span to come back
+  told,            // a dispatcher was told of an endpoint; status: 0 gone, 1 in service, 2 terminating
+  up,              // a dispatcher answers PING; status 1: it goes on after SIGSTOP
+  down,            // it was killed, told to end or has ended; status 1: stopped
+  out,             // a destination fails most of its calls from now on; callback: its number
+  back,            // it is back, and cold
+  fell,            // it was pushed over
+};
+
+struct Event {
+  Millis at{};
+  What what{};
+  std::uint32_t callback{};
+  std::uint32_t call{};
+  std::uint32_t endpoint{};
+  std::uint16_t dispatcher{};
+  std::int16_t status{};
+  Millis span{};
+  bool ran{false};
+
+  bool operator==(const Event&) const = default;
+};
+
+// A callback as its client hands it in; handed in again it is another one, of the same origin.
+struct Handed {
+  std::uint32_t origin{};
+  std::uint16_t type{};
+  std::uint16_t tenant{};
+  std::uint16_t destination{};
+  std::uint32_t key{};  // of an ordered type; 0: none
+  Millis due{};         // when the first of its origin was due
+
+  bool operator==(const Handed&) const = default;
+};
+
+struct Trace {
+  std::vector<Handed> callbacks;
+  std::vector<Event> events;
+};
+
+const char* nameOf(What what);
+
+// Two tables, events.csv and callbacks.csv, in a folder. Throws Malformed naming file and line.
+void save(const Trace& trace, const std::string& folder);
+Trace loadTrace(const std::string& folder);
+
+}  // namespace stonewing::lab
