--- a/src/lab/draw.h
+++ b/src/lab/draw.h
@@ -82,14 +82,16 @@
     bool on = l.surgeTenant >= 0 && at >= l.surgeFrom && at < l.surgeUntil;
     return on ? (l.surgeFactor - 1) / l.tenants : 0;
   }
+  // A clump counts as many times as it is large, so that the rate is that of callbacks.
   Millis next(Millis after, std::mt19937& chance) const {
     const LoadPlan& l = plan_.load;
+    double comings = 1 - l.clumpShare + l.clumpShare / std::max(1, l.clumpSize);
     double top = l.perSecond *
                  std::max(l.arrivals == ArrivalShape::bursts ? l.burstFactor : 1.0,
                           l.arrivals == ArrivalShape::dusk ? l.duskFactor : 1.0) *
                  (l.surgeTenant >= 0 ? 1 + (l.surgeFactor - 1) / l.tenants : 1);
     for (;;) {
-      after += -std::log(uniform(chance)) / top * 1000;
+      after += -std::log(uniform(chance)) / (top * comings) * 1000;
       if (uniform(chance) * top <= perSecond(after)) return after;
     }
   }
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -102,11 +102,11 @@
   TroubleKind kind{};
   Millis from{};
   Millis until{};
-  std::string room;               // all endpoints of the room, where named
-  std::vector<int> destinations;  // all endpoints of these
-  std::vector<int> endpoints;     // and these; with no room, destination and endpoint: all
-  std::vector<int> dispatchers;   // for the kinds that strike dispatchers; none: the first
-  double share{1};                // of the endpoints chosen, the first so many
+  std::string room{};               // all endpoints of the room, where named
+  std::vector<int> destinations{};  // all endpoints of these
+  std::vector<int> endpoints{};     // and these; with no room, destination and endpoint: all
+  std::vector<int> dispatchers{};   // for the kinds that strike dispatchers; none: the first
+  double share{1};                  // of the endpoints chosen, the first so many
   double factor{1};
 };
 
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -84,6 +84,7 @@
 
 void holdSignals() {
   ::signal(SIGPIPE, SIG_IGN);  // whoever reads the log may go away
+  ::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is an error to answer, not an end
   sigset_t set = ourSignals();
   ::sigprocmask(SIG_BLOCK, &set, nullptr);
 }
