--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 # The tasks of this repository; README.md tells what each needs.
-.PHONY: build test lint run toy submit
+.PHONY: build test lint run toy submit lab demo
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release && cmake --build build -j4
 
 test:
+	bash scripts/needs
 	bash scripts/test
 
 lint:
@@ -20,3 +21,13 @@
 
 submit:
 	python3 example/toy.py submit
+
+# The laboratory (docs/lab.md).
+lab:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release -DSTONEWING_LAB=ON && cmake --build build -j4
+
+# From a bare machine: installs what is needed, builds, plays a short day of trouble, says where the report is.
+demo:
+	bash scripts/needs
+	$(MAKE) --no-print-directory lab
+	build/stonewing_lab run experiments/demo.toml --baselines --out build/demo
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,4 @@
 // The dispatcher's command line.
-#include <spdlog/sinks/stdout_sinks.h>
-#include <spdlog/spdlog.h>
-
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <fstream>
@@ -9,6 +6,7 @@
 #include <iterator>
 
 #include "core/bytes.h"
+#include "net/log.h"
 #include "net/phases.h"
 
 namespace {
@@ -35,16 +33,17 @@
   app.require_subcommand(1);
   std::string path;
   std::string level = "info";
+  std::string format = "text";
   auto* serve = app.add_subcommand("serve", "run one dispatcher until SIGTERM");
   serve->add_option("-c,--config", path, "its configuration (default: the file that EDGE_CONFIG names)");
   serve->add_option("-l,--log", level, "trace, debug, info, warn, error or off")->capture_default_str();
+  serve->add_option("--log-format", format, "text, or json: an object a line")->capture_default_str();
   auto* check = app.add_subcommand("check", "read a configuration and say what is wrong with it");
   check->add_option("-c,--config", path, "as for serve");
   auto* version = app.add_subcommand("version", "print the version");
   CLI11_PARSE(app, argc, argv);
-  spdlog::set_default_logger(spdlog::stderr_logger_st("stonewing"));
-  spdlog::set_level(spdlog::level::from_str(level));
   try {
+    stonewing::log::open("stonewing", level, format);
     if (*version) std::cout << "stonewing " << kVersion << "\n";
     if (*check) {
       auto orders = ordersFrom(path);
--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -1,13 +1,12 @@
 #include "net/book.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 
 #include "core/bytes.h"
 #include "net/http.h"
+#include "net/log.h"
 
 namespace stonewing::net {
 namespace {
@@ -133,7 +132,7 @@
     try {
       replayed(record);
     } catch (const Malformed& problem) {
-      spdlog::error("a record of the journal is passed over: {}", problem.what());
+      log::error("journal.record_passed_over", {{"why", problem.what()}});
     }
   });
   return cut;
@@ -159,7 +158,7 @@
         held_[id] = std::move(held);
       } catch (const Malformed& problem) {
         // The settings have changed under it: its end is still owed.
-        spdlog::error("callback {} cannot be delivered any more: {}", ref, problem.what());
+        log::error("callback.undeliverable", {{"callback", ref}, {"why", problem.what()}});
         owed_[id] = {ref, Result::dead, 0};
       }
       return;
@@ -214,7 +213,7 @@
 bool Book::roomFor(std::size_t more) {
   if (journal_.size() + more + liveBytes() <= journal_.most()) return true;
   if (!journal_.rewrite(live())) {
-    spdlog::error("the journal cannot be rewritten; it holds {} bytes", journal_.size());
+    log::error("journal.not_rewritten", {{"bytes", journal_.size()}});
     return false;
   }
   return journal_.size() + more + liveBytes() <= journal_.most();
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -1,11 +1,12 @@
 #include "net/calls.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <cstring>
+#include <utility>
+
+#include "net/log.h"
 
 namespace stonewing::net {
 namespace {
@@ -19,8 +20,19 @@
   return wait ? static_cast<Millis>(*wait) : 0;
 }
 
+const char* nameOf(Ending ending) {
+  constexpr const char* kNames[] = {"completed",      "error", "full",      "timeout",
+                                    "connect_failed", "reset", "withdrawn", "not_sent"};
+  return kNames[static_cast<int>(ending)];
+}
+
 }  // namespace
 
+std::string_view Calls::nameAt(EndpointId endpoint) const {
+  const Site* site = catalog_.find(endpoint);
+  return site == nullptr ? std::string_view("gone") : std::string_view(site->note.name);
+}
+
 Calls::Calls(Loop& loop, Rules& rules, Book& book, const Catalog& catalog, const DeploymentTerms& terms,
              const HostFacts& facts, std::size_t mostLinks)
     : loop_(loop),
@@ -57,6 +69,10 @@
     line.members = std::move(members);
     line.sent = loop_.now();
     for (const Member& m : line.members) {
+      log::debug("launch.sent", {{"callback", m.ref},
+                                 {"launch", m.launch},
+                                 {"endpoint", nameAt(endpoint)},
+                                 {"time_out_ms", m.due - loop_.now()}});
       rules_.goesOutOn(m.callback, m.launch, line.up() ? loop_.now() - line.usedAt : 0);
     }
     // Noted before its last byte: after a kill it may have run. What cannot be noted is not sent.
@@ -201,6 +217,12 @@
   if (ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent) {
     book_.neverRan(m.callback, m.launch);
   }
+  log::debug("launch.ended", {{"callback", m.ref},
+                              {"launch", m.launch},
+                              {"endpoint", nameAt(line.endpoint)},
+                              {"ending", nameOf(ending)},
+                              {"spent_ms", loop_.now() - line.sent},
+                              {"wait_ms", wait}});
   double limit = line.status() != 0 ? limitIn(line.header("X-Load"), facts_.reported) : 0;
   bool isOver = ends || book_.find(m.callback) == nullptr;
   rules_.launchEnded(m.callback, m.launch, ending, loop_.now() - line.sent, isOver, wait, limit);
@@ -263,7 +285,7 @@
   } else if (status == 410) {
     tellAll(line, Ending::notSent, true);
   } else if (status == 400 || status == 413) {
-    spdlog::error("an endpoint cannot read our call: {}", status);
+    log::error("call.unreadable", {{"endpoint", nameAt(line.endpoint)}, {"status", status}});
     tellAll(line, line.members.size() > 1 ? Ending::notSent : Ending::error);
   } else {
     tellAll(line, Ending::error);
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -2,6 +2,7 @@
 
 #include <list>
 #include <map>
+#include <string_view>
 #include <vector>
 
 #include "core/facts.h"
@@ -56,6 +57,7 @@
   void begun(HttpLink& link) override;
   void answered(HttpLink& link) override;
   void broke(HttpLink& link) override;
+  std::string_view nameAt(EndpointId endpoint) const;
   Line& lineTo(EndpointId endpoint);
   void write(Line& line);
   void tell(Line& line, Member& member, Ending ending, bool over, Millis wait);
--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -1,12 +1,14 @@
 #include "net/catalog.h"
 
-#include <spdlog/spdlog.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "core/bytes.h"
+#include "net/log.h"
 
 namespace stonewing::net {
 namespace {
@@ -67,9 +69,7 @@
 EndpointId Catalog::idOf(const std::string& name) {
   auto at = ids_.find(name);
   if (at != ids_.end()) return at->second;
-  std::uint64_t hash = 0xcbf29ce484222325u;
-  for (unsigned char c : name) hash = (hash ^ c) * 0x100000001b3u;
-  EndpointId id{hash >> 1};  // the module keeps the topmost bit for itself
+  EndpointId id{XXH3_64bits(name.data(), name.size()) >> 1};  // the module keeps the topmost bit for itself
   while (sites_.contains(id)) ++id.value;
   ids_[name] = id;
   return id;
@@ -165,7 +165,7 @@
     pause_ = 0;
     notBefore_ = loop_.now();  // a watch goes on only when asked for again at once
   } catch (const Malformed& problem) {
-    spdlog::warn("an answer of discovery cannot be read, the list stays: {}", problem.what());
+    log::warn("list.unreadable", {{"why", problem.what()}, {"kept", sites_.size()}});
     whole_ = true;
     later();
   }
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -1,7 +1,6 @@
 #include "net/intake.h"
 
 #include <netinet/tcp.h>
-#include <spdlog/spdlog.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -14,6 +13,7 @@
 
 #include "core/bytes.h"
 #include "net/http.h"
+#include "net/log.h"
 
 namespace stonewing::net {
 namespace {
@@ -281,7 +281,7 @@
       if (errno == EINTR || errno == ECONNABORTED) continue;
       if (errno != EAGAIN && errno != EWOULDBLOCK) {
         // No descriptor left, say: the edge is gone, so the next try is by the clock.
-        spdlog::warn("cannot take a connection: {}", std::generic_category().message(errno));
+        log::warn("client.not_accepted", {{"why", std::generic_category().message(errno)}});
         closeIdlest();
         acceptAgain_ = loop_.now() + kAcceptPause;
       }
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -3,7 +3,10 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <array>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
 #include <cerrno>
 #include <system_error>
 
@@ -14,21 +17,24 @@
 
 constexpr std::size_t kBlock = 512;  // files count in whole ones
 
-std::uint32_t checkSum(std::string_view bytes) {
-  static const auto table = [] {
-    std::array<std::uint32_t, 256> t;
-    for (std::uint32_t n = 0; n < 256; ++n) {
-      std::uint32_t c = n;
-      for (int bit = 0; bit < 8; ++bit) c = (c & 1) != 0 ? 0xedb88320u ^ (c >> 1) : c >> 1;
-      t[n] = c;
-    }
-    return t;
-  }();
+constexpr std::string_view kMark = "SWJ";  // no record is so long that these could be its length
+
+// The sum of the first version: CRC-32 as in IEEE 802.3, kept to read what older programs left.
+std::uint32_t crc32(std::string_view bytes) {
   std::uint32_t sum = 0xffffffffu;
-  for (unsigned char byte : bytes) sum = table[(sum ^ byte) & 0xff] ^ (sum >> 8);
+  for (unsigned char byte : bytes) {
+    sum ^= byte;
+    for (int bit = 0; bit < 8; ++bit) sum = (sum & 1) != 0 ? 0xedb88320u ^ (sum >> 1) : sum >> 1;
+  }
   return ~sum;
 }
 
+std::string headOf() {
+  std::string head(kMark);
+  head.push_back(2);
+  return head;
+}
+
 std::string wholeFile(int fd) {
   std::string bytes;
   for (;;) {
@@ -53,16 +59,33 @@
 
 Journal::~Journal() { ::close(fd_); }
 
+std::uint32_t Journal::sumOf(Version version, std::string_view bytes) {
+  if (version == Version::first) return crc32(bytes);
+  return static_cast<std::uint32_t>(XXH3_64bits(bytes.data(), bytes.size()));
+}
+
 std::size_t Journal::replay(const std::function<void(std::string_view)>& record) {
   const std::string bytes = wholeFile(fd_);
   std::size_t at = 0;
+  bool marked = std::string_view(bytes).substr(0, kMark.size()) == kMark;
+  if (marked && bytes.size() >= kHead) {
+    version_ = static_cast<Version>(bytes[kMark.size()]);
+    if (version_ != Version::second) {
+      // Danger: what cannot be read looks torn, and cutting it would lose all that was taken on.
+      throw std::runtime_error(path_ + " is of version " + std::to_string(static_cast<int>(version_)) +
+                               "; this program reads versions 1 and 2 and leaves it as it is");
+    }
+    at = kHead;
+  } else if (!bytes.empty() && !marked) {
+    version_ = Version::first;
+  }
   while (bytes.size() - at >= kFrame) {
     ByteReader frame(std::string_view(bytes).substr(at, kFrame));
     auto length = frame.get<std::uint32_t>("length");
     auto sum = frame.get<std::uint32_t>("sum");
     if (bytes.size() - at - kFrame < length) break;
     std::string_view payload = std::string_view(bytes).substr(at + kFrame, length);
-    if (length == 0 || checkSum(payload) != sum) break;
+    if (length == 0 || sumOf(version_, payload) != sum) break;
     record(payload);
     at += kFrame + length;
   }
@@ -70,13 +93,16 @@
   if (at < bytes.size() && ::ftruncate(fd_, static_cast<off_t>(at)) != 0) {
     throw std::system_error(errno, std::generic_category(), "cannot cut the journal's torn tail");
   }
+  if (at == 0) version_ = Version::second;  // begun anew
   return bytes.size() - at;
 }
 
-std::string Journal::framed(std::string_view record) {
+std::string Journal::framed(std::string_view record) { return framedAs(Version::second, record); }
+
+std::string Journal::framedAs(Version version, std::string_view record) {
   std::string bytes;
   putBytes(bytes, static_cast<std::uint32_t>(record.size()));
-  putBytes(bytes, checkSum(record));
+  putBytes(bytes, sumOf(version, record));
   bytes.append(record);
   return bytes;
 }
@@ -92,7 +118,8 @@
 }
 
 bool Journal::append(std::string_view record) {
-  std::string bytes = framed(record);
+  std::string bytes = framedAs(version_, record);
+  if (size_ == 0) bytes.insert(0, headOf());
   if (size_ + bytes.size() > most_) return false;
   if (!writeAll(fd_, bytes)) {
     // Half a record would hide all later ones from the next start.
@@ -106,18 +133,19 @@
 }
 
 bool Journal::rewrite(std::string_view live) {
-  if (size_ + live.size() > most_) return false;
+  if (size_ + kHead + live.size() > most_) return false;
   const std::string beside = path_ + ".new";
   int fd = ::open(beside.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   if (fd < 0) return false;
-  if (!writeAll(fd, live) || ::rename(beside.c_str(), path_.c_str()) != 0) {
+  if (!writeAll(fd, headOf()) || !writeAll(fd, live) || ::rename(beside.c_str(), path_.c_str()) != 0) {
     ::close(fd);
     ::unlink(beside.c_str());
     return false;
   }
   ::close(fd_);
   fd_ = fd;
-  size_ = live.size();
+  size_ = kHead + live.size();
+  version_ = Version::second;
   return true;
 }
 
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -7,10 +7,13 @@
 
 namespace stonewing::net {
 
-// A file of records that outlives the process: each with its length and a check sum, written whole.
+// A file of records that outlives the process: each with its length and a check sum, written whole. It begins
+// with three letters and a version byte; one without them is of the first version, whose records have another
+// sum, and goes on as it is until it is rewritten.
 class Journal {
  public:
-  // Throws where the folder cannot be used. mostBytes bounds the file, and a rewrite of it beside it.
+  // Throws where the folder cannot be used, or holds a journal of a version we do not know. mostBytes bounds
+  // the file, and a rewrite of it beside it.
   Journal(const std::string& folder, std::size_t mostBytes);
   ~Journal();
   Journal(const Journal&) = delete;
@@ -25,16 +28,21 @@
 
   std::size_t size() const { return size_; }
   std::size_t most() const { return most_; }
-  static std::string framed(std::string_view record);
+  static std::string framed(std::string_view record);  // in the version that is written now
   static constexpr std::size_t kFrame = 8;
+  static constexpr std::size_t kHead = 4;
 
  private:
+  enum class Version : std::uint8_t { first = 1, second = 2 };
+  static std::uint32_t sumOf(Version version, std::string_view bytes);
+  static std::string framedAs(Version version, std::string_view record);
   bool writeAll(int fd, std::string_view bytes) const;
 
   std::string path_;
   std::size_t most_;
   int fd_{-1};
   std::size_t size_{0};
+  Version version_{Version::second};
 };
 
 }  // namespace stonewing::net
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -1,11 +1,11 @@
 #include "net/notices.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "net/log.h"
+
 namespace stonewing::net {
 namespace {
 
@@ -79,7 +79,7 @@
     if (book_.owed().empty()) oneByOne_ = false;
     return;
   }
-  spdlog::warn("the platform answered {} to {} notices", link.status(), out_.size());
+  log::warn("notices.refused", {{"status", link.status()}, {"notices", out_.size()}});
   oneByOne_ = true;
   later();
 }
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -1,7 +1,6 @@
 #include "net/phases.h"
 
 #include <signal.h>
-#include <spdlog/spdlog.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -13,6 +12,7 @@
 #include <utility>
 
 #include "core/bytes.h"
+#include "net/log.h"
 
 namespace stonewing::net {
 namespace {
@@ -138,8 +138,10 @@
 
 void Dispatcher::enter(State state) {
   state_ = state;
-  spdlog::info("{}: {}; {} held, {} ends owed", orders_.name, nameOf(static_cast<int>(state)),
-               book_.held().size(), book_.owed().size());
+  log::info("phase", {{"name", orders_.name},
+                      {"phase", nameOf(static_cast<int>(state))},
+                      {"held", book_.held().size()},
+                      {"owed", book_.owed().size()}});
 }
 
 void Dispatcher::restore() {
@@ -148,10 +150,10 @@
     try {
       catalog_.told(json::parse(orders_.known));
     } catch (const Malformed& problem) {
-      spdlog::error("the list to start from cannot be read: {}", problem.what());
+      log::error("list.unreadable", {{"why", problem.what()}, {"kept", catalog_.count()}});
     }
   }
-  if (std::size_t cut = book_.restore(); cut > 0) spdlog::warn("{} bytes of a torn record were cut", cut);
+  if (std::size_t cut = book_.restore(); cut > 0) log::warn("journal.torn", {{"bytes", cut}});
   Millis toSteady = loop_.now() - wallNow();
   for (const auto& [id, held] : book_.held()) {
     for (const LaunchNote& launch : held.launches) catalog_.remember(launch.endpoint);
@@ -195,15 +197,15 @@
     sockaddr_in discovery = needAddress(orders.discovery, "discovery");
     if (orders.listen != orders_.listen || orders.state != orders_.state ||
         orders.settings != orders_.settings) {
-      spdlog::warn("of the new configuration only 'discovery' is taken before the next start");
+      log::warn("configuration.partly_taken", {{"taken", "discovery"}, {"rest", "at the next start"}});
     }
     if (orders.discovery == orders_.discovery) return;
     orders_.discovery = orders.discovery;
     catalog_.moveTo(discovery, orders.discovery);
     notices_.moveTo(discovery, orders.discovery);
-    spdlog::info("discovery is at {} now", orders.discovery);
+    log::info("discovery.moved", {{"address", orders.discovery}});
   } catch (const std::exception& problem) {
-    spdlog::error("the new configuration cannot be used, the old one stays: {}", problem.what());
+    log::error("configuration.unusable", {{"why", problem.what()}, {"kept", "the old one"}});
   }
 }
 
@@ -263,6 +265,10 @@
   auto id = book_.take(std::move(held));
   if (!id) return "-BUSY\r\n";
   rules_.taken(*id, type, tenant, key, destination, outer);
+  log::debug("callback.taken", {{"callback", words[2]},
+                                {"type", facts_.types[type.value]},
+                                {"destination", destination.value},
+                                {"left_ms", outer - loop_.now()}});
   return "+OK\r\n";
 }
 
@@ -271,6 +277,16 @@
   calls_.flush();
 }
 
+void Dispatcher::ended(CallbackId id, const char* result, Millis wait) {
+  const Held* held = book_.find(id);
+  if (held == nullptr) return;
+  log::debug("callback.ended", {{"callback", held->ref},
+                                {"result", result},
+                                {"destination", held->destination.value},
+                                {"launches", held->launches.size()},
+                                {"wait_ms", wait}});
+}
+
 void Dispatcher::carryOut(const Decision& d) {
   switch (d.act) {
     case Act::launch:
@@ -278,8 +294,10 @@
     case Act::withdraw:
       return calls_.withdraw(d);
     case Act::shed:
+      ended(d.callback, "shed", d.span);
       return book_.owe(d.callback, Result::bounced, d.span);
     case Act::giveUp:
+      ended(d.callback, "given_up", 0);
       return book_.owe(d.callback, Result::dead, 0);
     case Act::probe:
       return calls_.probe(d.endpoint);
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -65,6 +65,7 @@
   std::string answer(const std::vector<std::string_view>& words, bool left);
   std::string submit(const std::vector<std::string_view>& words, bool left);
   void decide();
+  void ended(CallbackId id, const char* result, Millis wait);
   void carryOut(const Decision& decision);
   Millis due() const;
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -2,11 +2,14 @@
 #include <rapidcheck/gtest.h>
 #include <signal.h>
 
+#include <nlohmann/json.hpp>
+
 #include "bench_free.h"
 #include "core/bytes.h"
 #include "net/book.h"
 #include "net/http.h"
 #include "net/intake.h"
+#include "net/log.h"
 #include "net/phases.h"
 
 namespace stonewing::testing {
@@ -144,12 +147,72 @@
   if (end == Step::whole) RC_ASSERT(reader.length() <= bytes.size());
 }
 
+// Danger: a program made anew takes the journal of its forerunner for torn, and cuts all that was taken on.
+TEST(Journal, OfTheFirstVersionIsReadGoesOnAndIsWrittenAnewInTheSecond) {
+  auto framedFirst = [](const std::string& record) {
+    std::uint32_t sum = 0xffffffffu;
+    for (unsigned char byte : record) {
+      sum ^= byte;
+      for (int bit = 0; bit < 8; ++bit) sum = (sum & 1) != 0 ? 0xedb88320u ^ (sum >> 1) : sum >> 1;
+    }
+    std::string bytes;
+    putBytes(bytes, static_cast<std::uint32_t>(record.size()));
+    putBytes(bytes, ~sum);
+    return bytes + record;
+  };
+  Folder folder;
+  std::string path = (folder.path / "journal").string();
+  std::ofstream(path) << framedFirst("old") << framedFirst("older") << "torn";
+  std::vector<std::string> read;
+  auto keep = [&](std::string_view record) { read.emplace_back(record); };
+  {
+    net::Journal journal(folder.path.string(), 100000);
+    EXPECT_EQ(journal.replay(keep), 4u);
+    ASSERT_TRUE(journal.append("new"));
+  }
+  read.clear();
+  net::Journal journal(folder.path.string(), 100000);
+  EXPECT_EQ(journal.replay(keep), 0u);
+  EXPECT_EQ(read, (std::vector<std::string>{"old", "older", "new"}));
+  ASSERT_TRUE(journal.rewrite(net::Journal::framed("old")));
+  ASSERT_TRUE(journal.append("newer"));
+  read.clear();
+  net::Journal(folder.path.string(), 100000).replay(keep);
+  EXPECT_EQ(read, (std::vector<std::string>{"old", "newer"}));
+}
+
+TEST(Journal, OfAVersionThatIsNotKnownIsLeftAsItIs) {
+  Folder folder;
+  std::string path = (folder.path / "journal").string();
+  const std::string bytes = "SWJ\3and what we cannot read";
+  std::ofstream(path) << bytes;
+  net::Journal journal(folder.path.string(), 100000);
+  EXPECT_THROW(journal.replay([](std::string_view) {}), std::runtime_error);
+  std::ifstream in(path);
+  EXPECT_EQ(std::string(std::istreambuf_iterator<char>(in), {}), bytes);
+}
+
+TEST(Logs, HaveOneVocabularyInBothFormats) {
+  std::initializer_list<log::Field> fields = {
+      {"callback", "9b1f"}, {"launch", 2}, {"spent_ms", 1.5}, {"why", "it said \"no\"\n"}, {"bytes", "\xff"}};
+  EXPECT_EQ(log::lineOf(log::Format::text, "launch.ended", fields),
+            "launch.ended callback=9b1f launch=2 spent_ms=1.5 why=\"it said \\\"no\\\"\\n\" bytes=\xff");
+  std::string object = "{" + log::lineOf(log::Format::json, "launch.ended", fields) + "}";
+  auto row = nlohmann::json::parse(object);
+  EXPECT_EQ(row["event"], "launch.ended");
+  EXPECT_EQ(row["launch"], 2);
+  EXPECT_EQ(row["why"], "it said \"no\"\n");
+  EXPECT_THROW(log::open("x", "loud", "text"), Malformed);
+  EXPECT_THROW(log::open("x", "info", "xml"), Malformed);
+}
+
 // Danger: a kill in the middle of a write leaves half a record, and all that comes after would be unreadable.
 TEST(Journal, CutAtAnyByteKeepsAllWholeRecordsAndTakesNewOnes) {
   Folder folder;
   std::string path = (folder.path / "journal").string();
-  std::string bytes = net::Journal::framed("first") + net::Journal::framed("second");
-  std::size_t whole = net::Journal::framed("first").size();
+  const std::string head = "SWJ\2";
+  std::string bytes = head + net::Journal::framed("first") + net::Journal::framed("second");
+  std::size_t whole = head.size() + net::Journal::framed("first").size();
   for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
     std::ofstream(path, std::ios::trunc) << bytes.substr(0, cut);
     std::ofstream(path + ".new") << "a rewrite that was cut short";
@@ -157,7 +220,8 @@
     auto keep = [&](std::string_view record) { read.emplace_back(record); };
     {
       net::Journal journal(folder.path.string(), 100000);
-      EXPECT_EQ(journal.replay(keep), cut - (cut < whole ? 0 : cut < bytes.size() ? whole : bytes.size()));
+      std::size_t kept = cut < head.size() ? 0 : cut < whole ? head.size() : cut < bytes.size() ? whole : cut;
+      EXPECT_EQ(journal.replay(keep), cut - kept);
       ASSERT_TRUE(journal.append("third"));
     }
     EXPECT_FALSE(std::filesystem::exists(path + ".new"));
