Passes of the module and the sockets cost by what is due, not by what is held

Cause: with all endpoints silent each call of next() walked over every callback held (noticeSilence, dueAnswer, freeStuck, copyDue, launchDue, makeRoom), and each turn of the sockets over every line and client.

Change: callbacks that wait stand in lines by destination and kind of gain (src/index/waiting.h); of a line the most urgent stands beside one of a few outer limits, so a launch is chosen in logarithmic time. Outer limits and spent callbacks are ordered by when they are due. Walks over launches that are out go once through a round. Lines and clients have ordered due times, an idle line and the line of a launch are found without a search.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <vector>
 
 #include "core/ids.h"
 #include "core/terms.h"
+#include "index/waiting.h"
 
 namespace stonewing {
 
@@ -41,6 +43,7 @@
   bool started{false};
   bool copied{false};
   std::vector<Launch> launches;
+  std::optional<WaitKind> waits{};  // the line it stands in; none while a launch is out, or once it is over
 
   bool settled() const {
     return std::none_of(launches.begin(), launches.end(), [](const Launch& l) { return l.out; });
@@ -136,6 +139,7 @@
   std::vector<Endpoint*> ranking;
   int taken{0};
   int callsOut{0};
+  Waiting waiting;
 };
 
 struct Call {
@@ -173,7 +177,11 @@
   std::map<EndpointId, Endpoint> endpoints;
   std::map<PathId, Path> paths;
   std::map<DestinationId, Destination> destinations;
-  std::set<EndpointId> troubled;  // failing, or on a path that is out
+  std::set<Destination*> waitedFor;                     // destinations with callbacks that wait
+  std::set<CallbackId> out;                             // callbacks with a launch out
+  std::set<std::pair<Millis, CallbackId>> outerLimits;  // of all that are not over
+  std::set<std::pair<Millis, CallbackId>> spentFrom;    // when a settled one may have no launch left
+  std::set<EndpointId> troubled;                        // failing, or on a path that is out
   std::map<int, Call> calls;
   std::map<KeyId, KeyLine> keys;
   std::vector<Tenant> tenants;
@@ -212,6 +220,29 @@
     e.failedAt = now;
     troubled.insert(e.id);
   }
+  // Puts a callback where it now belongs; to be called after each change of its launches, and when it is
+  // over.
+  void place(CallbackId id, Callback& c) {
+    bool settled = c.settled();
+    if (settled) {
+      out.erase(id);
+    } else {
+      out.insert(id);
+    }
+    std::optional<WaitKind> wanted;
+    if (settled && !c.over) wanted = WaitKind{c.type, c.overShare, !c.launches.empty()};
+    if (c.over) outerLimits.erase({c.outerLimit, id});
+    if (wanted == c.waits) return;
+    Waiting& waiting = c.destination->waiting;
+    if (c.waits) waiting.remove(*c.waits, c.outerLimit, id);
+    if (wanted) waiting.add(*wanted, c.outerLimit, id);
+    c.waits = wanted;
+    if (waiting.empty()) {
+      waitedFor.erase(c.destination);
+    } else {
+      waitedFor.insert(c.destination);
+    }
+  }
   // Nothing more is to be done for a callback that is over and has no launch out.
   void forgetSettled(CallbackId id) {
     Callback* c = find(id);
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -33,6 +33,8 @@
 
 struct Choices {
   std::vector<std::string> files;
+  std::vector<std::string> changes;
+  std::vector<std::string> otherChanges;
   std::int64_t seed{-1};
   std::string out;
   std::string policy{"ours"};
@@ -102,7 +104,7 @@
 int model(const Choices& c) {
   int code = 0;
   for (const std::string& file : c.files) {
-    Plan plan = loadPlan(file);
+    Plan plan = loadPlan(file, c.changes);
     std::uint64_t seed = seedOf(c, plan);
     ModelCost cost;
     auto began = std::chrono::steady_clock::now();
@@ -124,7 +126,7 @@
 int run(const Choices& c) {
   int code = 0;
   for (const std::string& file : c.files) {
-    Plan plan = loadPlan(file);
+    Plan plan = loadPlan(file, c.changes);
     std::uint64_t seed = seedOf(c, plan);
     RunChoices choices;
     choices.binary = c.dispatcher.empty() ? beside("stonewing") : c.dispatcher;
@@ -194,8 +196,10 @@
 int compare(const Choices& c) {
   const std::string& fileA = c.files.front();
   const std::string& fileB = c.files.back();
-  Plan planA = loadPlan(fileA);
-  Plan planB = loadPlan(fileB);
+  Plan planA = loadPlan(fileA, c.changes);
+  std::vector<std::string> changesB = c.changes;
+  changesB.insert(changesB.end(), c.otherChanges.begin(), c.otherChanges.end());
+  Plan planB = loadPlan(fileB, changesB);
   std::string policyB = c.otherPolicy.empty() ? c.policy : c.otherPolicy;
   std::vector<Figures> a, b;
   std::uint64_t first = seedOf(c, planA);
@@ -254,7 +258,7 @@
 }
 
 int loadAlone(const Choices& c) {
-  Plan plan = loadPlan(c.files.front());
+  Plan plan = loadPlan(c.files.front(), c.changes);
   Played played = driveLoad(plan, seedOf(c, plan), c.addresses, progressOf(plan));
   Tally t = tally(plan, played.trace);
   std::uint64_t taken = 0;
@@ -281,6 +285,8 @@
         ->check(CLI::ExistingPath);
     sub->add_option("--seed", c.seed, "in place of the file's")
         ->check(CLI::Range(std::int64_t{0}, std::int64_t{1} << 52));
+    sub->add_option("--set", c.changes, "table.key=value in place of the file's, as often as needed")
+        ->expected(1);
     sub->add_option("--out", c.out, "folder for the report");
   };
   auto* runs =
@@ -303,6 +309,7 @@
   compares->add_option("--other-policy", c.otherPolicy, "of B")->check(CLI::IsMember(policyNames()));
   compares->add_option("--other-lab", c.otherLab, "B in the model of another build of this program")
       ->check(CLI::ExistingFile);
+  compares->add_option("--other-set", c.otherChanges, "table.key=value for B alone")->expected(1);
   compares->add_flag("--sockets", c.sockets, "real dispatchers in place of the model");
   compares->add_option("--dispatcher", c.dispatcher, "A on sockets")->check(CLI::ExistingFile);
   compares->add_option("--other-dispatcher", c.otherDispatcher, "B on sockets")->check(CLI::ExistingFile);
@@ -329,7 +336,7 @@
     if (*audits) return auditFolder(c);
     if (*loads) return loadAlone(c);
     if (*worlds) {
-      Plan plan = loadPlan(c.files.front());
+      Plan plan = loadPlan(c.files.front(), c.changes);
       std::string folder = c.out.empty() ? "lab-world" : c.out;
       fs::create_directories(folder);
       serveWorld(plan, seedOf(c, plan), folder);
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -365,7 +365,35 @@
   return "?";
 }
 
-Plan readPlan(const std::string& text, const std::string& file) {
+namespace {
+
+// Puts "table.key=value" in place of what the file says.
+void apply(toml::table& root, const std::string& change) {
+  std::size_t equals = change.find('=');
+  if (equals == std::string::npos || equals == 0) {
+    throw Malformed("--set takes table.key=value, not '" + change + "'");
+  }
+  std::string path = change.substr(0, equals);
+  toml::table value;
+  try {
+    value = toml::parse("value = " + change.substr(equals + 1));
+  } catch (const toml::parse_error&) {
+    throw Malformed("--set " + path + ": '" + change.substr(equals + 1) +
+                    "' is no TOML value; texts need quotes");
+  }
+  toml::table* at = &root;
+  for (std::size_t dot; (dot = path.find('.')) != std::string::npos; path.erase(0, dot + 1)) {
+    std::string key = path.substr(0, dot);
+    at->insert(key, toml::table{});
+    at = at->get(key)->as_table();
+    if (at == nullptr) throw Malformed("--set: '" + key + "' is no table");
+  }
+  at->insert_or_assign(path, *value.get("value"));
+}
+
+}  // namespace
+
+Plan readPlan(const std::string& text, const std::string& file, const std::vector<std::string>& overrides) {
   Complaints complaints{file, {}};
   toml::table root;
   try {
@@ -374,6 +402,7 @@
     complaints.add(problem.source(), "not TOML: " + std::string(problem.description()));
     complaints.raise();
   }
+  for (const std::string& change : overrides) apply(root, change);
   Plan plan;
   Section top(root, "the experiment", complaints);
   top.text("name", plan.name, true);
@@ -391,10 +420,10 @@
   return plan;
 }
 
-Plan loadPlan(const std::string& path) {
+Plan loadPlan(const std::string& path, const std::vector<std::string>& overrides) {
   std::ifstream in(path, std::ios::binary);
   if (!in) throw Malformed("cannot read " + path);
-  return readPlan(std::string(std::istreambuf_iterator<char>(in), {}), path);
+  return readPlan(std::string(std::istreambuf_iterator<char>(in), {}), path, overrides);
 }
 
 Millis Plan::end() const {
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -152,7 +152,9 @@
 
 // Reads a plan. Throws Malformed with every mistake of the text, a line each: file, line, column, what is
 // wrong and what would be right.
-Plan readPlan(const std::string& text, const std::string& file);
-Plan loadPlan(const std::string& path);
+// overrides: "load.per_s=4000", as if the file had said so.
+Plan readPlan(const std::string& text, const std::string& file,
+              const std::vector<std::string>& overrides = {});
+Plan loadPlan(const std::string& path, const std::vector<std::string>& overrides = {});
 
 }  // namespace stonewing::lab
--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -108,6 +108,11 @@
   return record;
 }
 
+std::size_t Book::takenSize(const Held& held) {
+  return sizeof(Tag) + sizeof(CallbackId::value) + sizeof held.outerWall + held.taken.size() +
+         sizeof(std::uint32_t) + held.body->size();
+}
+
 std::string Book::launchRecord(CallbackId id, const LaunchNote& launch) {
   std::string record = recordOf(Tag::launched, id);
   putText(record, launch.endpoint.name);
@@ -154,7 +159,7 @@
         Held held = decode(key, ref, list, body, 0);
         held.outerWall = wall;
         byRef_[held.ref] = id;
-        heldBytes_ += takenRecord(id, held).size() + kReserve;
+        heldBytes_ += takenSize(held) + kReserve;
         held_[id] = std::move(held);
       } catch (const Malformed& problem) {
         // The settings have changed under it: its end is still owed.
@@ -262,7 +267,7 @@
 void Book::drop(CallbackId id) {
   auto at = held_.find(id);
   if (at == held_.end()) return;
-  heldBytes_ -= takenRecord(id, at->second).size() + kReserve;
+  heldBytes_ -= takenSize(at->second) + kReserve;
   byRef_.erase(at->second.ref);
   held_.erase(at);
 }
--- a/src/net/book.h
+++ b/src/net/book.h
@@ -90,6 +90,7 @@
   bool roomFor(std::size_t more);
   std::size_t liveBytes() const;
   std::string live() const;
+  static std::size_t takenSize(const Held& held);  // of its record
   static std::string takenRecord(CallbackId id, const Held& held);
   static std::string launchRecord(CallbackId id, const LaunchNote& launch);
   static std::string owedRecord(CallbackId id, const Notice& notice);
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -80,9 +80,40 @@
       if (!book_.launched(m.callback, catalog_.find(endpoint)->note, wallNow())) line.failed = true;
     }
     if (!line.failed) write(line);
+    for (const Member& m : line.members) carries_[{m.callback, m.launch}] = &line;
+    settle(line);
   }
 }
 
+Millis Calls::dueOf(const Line& line) const {
+  if (line.failed) return 0;
+  if (!line.busy()) return line.usedAt + idleMost();
+  Millis due = connectBy(line);
+  if (line.probing) due = std::min(due, line.sent + connectWithin_);
+  if (line.wholeBy >= 0) due = std::min(due, line.wholeBy);
+  for (const Member& m : line.members) {
+    if (!m.told) due = std::min(due, m.due);
+  }
+  return due;
+}
+
+void Calls::unsettle(Line& line) {
+  dues_.erase({line.due, &line});
+  if (std::exchange(line.idleAt, -1) < 0) return;
+  idle_.erase({line.endpoint, line.usedAt, &line});
+  oldest_.erase({line.usedAt, &line});
+}
+
+void Calls::settle(Line& line) {
+  unsettle(line);
+  line.due = dueOf(line);
+  dues_.insert({line.due, &line});
+  if (line.busy() || line.failed || !line.up()) return;
+  line.idleAt = line.usedAt;
+  idle_.insert({line.endpoint, line.usedAt, &line});
+  oldest_.insert({line.usedAt, &line});
+}
+
 void Calls::write(Line& line) {
   Millis latest = line.sent;
   for (const Member& m : line.members) latest = std::max(latest, m.due);
@@ -118,28 +149,25 @@
 
 Calls::Line& Calls::lineTo(EndpointId endpoint) {
   const Site* site = catalog_.find(endpoint);
-  Line* best = nullptr;
-  for (auto& line : lines_) {
-    if (line->busy() || line->failed || line->endpoint != endpoint || !line->up()) continue;
-    if (best == nullptr || line->usedAt > best->usedAt) best = line.get();
-  }
+  Line* best = nullptr;  // the one that was used last
+  auto next = idle_.lower_bound({endpoint, 1e300, nullptr});
+  if (next != idle_.begin() && std::get<0>(*std::prev(next)) == endpoint)
+    best = std::get<2>(*std::prev(next));
   bool moved = best != nullptr && site != nullptr &&
                std::memcmp(&best->address, &site->address, sizeof best->address) != 0;
   bool trusted = best != nullptr && loop_.now() < best->usedAt + idleMost();
-  if (trusted && !moved && best->stillGood()) return *best;
+  if (trusted && !moved && best->stillGood()) {
+    unsettle(*best);
+    return *best;
+  }
   if (best != nullptr) closeIdle(endpoint);
   if (lines_.size() >= mostLinks_) {
     // Room is made by the one that has stood idle for longest.
-    Line* oldest = nullptr;
-    for (auto& line : lines_) {
-      if (!line->busy() && !line->failed && (oldest == nullptr || line->usedAt < oldest->usedAt)) {
-        oldest = line.get();
-      }
-    }
-    if (oldest != nullptr) release(*oldest);
+    if (!oldest_.empty()) release(*oldest_.begin()->second);
   }
   lines_.push_back(std::make_unique<Line>(loop_, *this, kAnswerMost));
   Line& line = *lines_.back();
+  line.self = std::prev(lines_.end());
   line.endpoint = endpoint;
   if (site != nullptr) line.address = site->address;
   line.failed = site == nullptr || !line.open(site->address);
@@ -147,39 +175,42 @@
 }
 
 void Calls::release(Line& line) {
-  auto at = std::find_if(lines_.begin(), lines_.end(), [&](const auto& l) { return l.get() == &line; });
+  unsettle(line);
+  for (const Member& m : line.members) carries_.erase({m.callback, m.launch});
+  auto at = line.self;
   line.close();
   loop_.bury(std::move(*at));
   lines_.erase(at);
 }
 
 void Calls::withdraw(const Decision& d) {
-  for (auto& line : lines_) {
-    for (Member& m : line->members) {
-      if (m.callback != d.callback || m.launch != d.launch || m.told) continue;
-      tell(*line, m, line->lastByteWritten() ? unanswered(*line, Ending::withdrawn) : Ending::notSent, false,
-           0);
-      bool all =
-          std::all_of(line->members.begin(), line->members.end(), [](const Member& x) { return x.told; });
-      if (all) release(*line);
-      return;
-    }
+  auto at = carries_.find({d.callback, d.launch});
+  if (at == carries_.end()) return;
+  Line& line = *at->second;
+  for (Member& m : line.members) {
+    if (m.callback != d.callback || m.launch != d.launch || m.told) continue;
+    tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::withdrawn) : Ending::notSent, false, 0);
+    break;
   }
+  bool all = std::all_of(line.members.begin(), line.members.end(), [](const Member& x) { return x.told; });
+  if (all) release(line);
 }
 
 void Calls::probe(EndpointId endpoint) {
   Line& line = lineTo(endpoint);
   line.probing = true;
   line.sent = loop_.now();
-  if (line.failed) return;
+  if (line.failed) return settle(line);
   line.add("GET /ping HTTP/1.1\r\nHost: " + catalog_.find(endpoint)->authority + "\r\n\r\n");
   line.begin();
+  settle(line);
 }
 
 void Calls::closeIdle(EndpointId endpoint) {
-  for (auto at = lines_.begin(); at != lines_.end();) {
-    Line& line = **at++;
-    if (line.endpoint == endpoint && !line.busy() && !line.failed && line.up()) release(line);
+  for (;;) {
+    auto at = idle_.lower_bound({endpoint, -1e300, nullptr});
+    if (at == idle_.end() || std::get<0>(*at) != endpoint) return;
+    release(*std::get<2>(*at));
   }
 }
 
@@ -205,6 +236,7 @@
 
 void Calls::tell(Line& line, Member& m, Ending ending, bool over, Millis wait) {
   bool told = std::exchange(m.told, true);
+  carries_.erase({m.callback, m.launch});
   bool ends = over || ending == Ending::completed;
   if (told) {
     // Given up on, and now it was delivered after all: nothing more may be sent for it.
@@ -261,6 +293,7 @@
 
 void Calls::answered(HttpLink& link) {
   Line& line = static_cast<Line&>(link);
+  unsettle(line);
   line.usedAt = loop_.now();
   int status = line.status();
   Millis wait = waitIn(line);
@@ -292,7 +325,8 @@
   }
   line.members.clear();
   line.wholeBy = -1;
-  if (!line.isOpen()) release(line);
+  if (!line.isOpen()) return release(line);
+  settle(line);
 }
 
 // A connection may come up long after its call was decided. By then the endpoint may drain, may have told us
@@ -320,7 +354,9 @@
 // and the callback's time until its time-out.
 void Calls::begun(HttpLink& link) {
   Line& line = static_cast<Line&>(link);
-  if (line.wholeBy < 0) line.wholeBy = loop_.now() + kRest;
+  if (line.wholeBy >= 0) return;
+  line.wholeBy = loop_.now() + kRest;
+  settle(line);
 }
 
 void Calls::broke(HttpLink& link) {
@@ -338,52 +374,43 @@
   return line.busy() && !line.up() ? line.sent + connectWithin_ : kForever;
 }
 
+// Only lines whose time has come are looked at; a line that is trusted for less long than before comes first.
 void Calls::tick() {
-  for (auto at = lines_.begin(); at != lines_.end();) {
-    Line& line = **at++;
-    bool spoilt = line.busy() && line.wholeBy >= 0 && loop_.now() >= line.wholeBy;
-    if (line.failed || spoilt || loop_.now() >= connectBy(line)) {
-      broke(line);
-      continue;
-    }
-    if (!line.busy()) {
-      if (line.up() && loop_.now() >= line.usedAt + idleMost()) release(line);
-      continue;
-    }
-    if (line.probing) {
-      if (loop_.now() < line.sent + connectWithin_) continue;
-      line.probing = false;
-      rules_.probeEnded(line.endpoint, Ending::timeout, 0);
-      release(line);
-      continue;
-    }
-    bool all = true;
-    for (Member& m : line.members) {
-      // A connection that never came up has launched nothing, and its time was not up either: not sent.
-      if (!m.told && loop_.now() >= m.due) {
-        tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::timeout) : Ending::notSent, false, 0);
-      }
-      all = all && m.told;
-    }
-    if (all) release(line);
+  if (idleMost() < idleMostSeen_) {
+    std::vector<Line*> idle;
+    for (const auto& [usedAt, line] : oldest_) idle.push_back(line);
+    for (Line* line : idle) settle(*line);
   }
+  idleMostSeen_ = idleMost();
+  while (!dues_.empty() && dues_.begin()->first <= loop_.now()) look(*dues_.begin()->second);
 }
 
-Millis Calls::due() const {
-  Millis due = kForever;
-  for (const auto& line : lines_) {
-    if (line->failed) return 0;
-    due = std::min(due, connectBy(*line));
-    if (!line->busy()) due = std::min(due, line->usedAt + idleMost());
-    if (line->probing) due = std::min(due, line->sent + connectWithin_);
-    if (line->busy() && line->wholeBy >= 0) due = std::min(due, line->wholeBy);
-    for (const Member& m : line->members) {
-      if (!m.told) due = std::min(due, m.due);
+void Calls::look(Line& line) {
+  bool spoilt = line.busy() && line.wholeBy >= 0 && loop_.now() >= line.wholeBy;
+  if (line.failed || spoilt || loop_.now() >= connectBy(line)) return broke(line);
+  if (!line.busy()) {
+    if (loop_.now() >= line.usedAt + idleMost()) return release(line);
+    return settle(line);
+  }
+  if (line.probing && loop_.now() >= line.sent + connectWithin_) {
+    line.probing = false;
+    rules_.probeEnded(line.endpoint, Ending::timeout, 0);
+    return release(line);
+  }
+  bool all = !line.members.empty();
+  for (Member& m : line.members) {
+    // A connection that never came up has launched nothing, and its time was not up either: not sent.
+    if (!m.told && loop_.now() >= m.due) {
+      tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::timeout) : Ending::notSent, false, 0);
     }
+    all = all && m.told;
   }
-  return due;
+  if (all) return release(line);
+  settle(line);
 }
 
+Millis Calls::due() const { return dues_.empty() ? kForever : dues_.begin()->first; }
+
 bool Calls::idle() const {
   return std::none_of(lines_.begin(), lines_.end(), [](const auto& l) { return !l->members.empty(); });
 }
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -2,7 +2,9 @@
 
 #include <list>
 #include <map>
+#include <set>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "core/facts.h"
@@ -51,6 +53,9 @@
     Millis wholeBy{-1};  // an answer that has begun is to be whole by then; -1 while none has
     Millis sent{0};
     Millis usedAt{0};
+    Millis due{-1};     // its place in dues_
+    Millis idleAt{-1};  // its place in idle_
+    std::list<std::unique_ptr<Line>>::iterator self{};
   };
 
   bool mayBegin(HttpLink& link) override;
@@ -64,6 +69,11 @@
   void tellAll(Line& line, Ending ending, bool over = false, Millis wait = 0);
   void readMany(Line& line, Millis wait);
   void release(Line& line);
+  // A line has changed: when it is to be looked at, and whether it stands idle, is noted anew.
+  void settle(Line& line);
+  Millis dueOf(const Line& line) const;
+  void unsettle(Line& line);
+  void look(Line& line);
   Ending unanswered(const Line& line, Ending otherwise) const;
   Millis connectBy(const Line& line) const;
 
@@ -78,6 +88,11 @@
   Millis idleMost_{1e15};
   std::size_t mostLinks_;
   std::list<std::unique_ptr<Line>> lines_;
+  std::set<std::pair<Millis, Line*>> dues_;
+  std::set<std::tuple<EndpointId, Millis, Line*>> idle_;  // by endpoint, then when last used
+  std::set<std::pair<Millis, Line*>> oldest_;             // the idle ones by when last used
+  std::map<std::pair<CallbackId, int>, Line*> carries_;   // the line of a launch that was not told yet
+  Millis idleMostSeen_{1e15};
   std::map<int, std::pair<EndpointId, std::vector<Member>>> gathered_;  // by the number of the call
 };
 
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -82,6 +82,10 @@
   bool watch() { return intake_.loop_.watch(fd_, *this); }
 
   void ready(std::uint32_t) override {
+    serve();
+    if (!gone_) intake_.settle(*this);
+  }
+  void serve() {
     write();
     while (!gone_ && !closing_ && out_.size() <= kUnsentMost) {
       if (in_.empty()) usedAt = intake_.loop_.now();  // a command begins, if anything came
@@ -126,8 +130,10 @@
     in_ = {};
     count();
     write();
+    if (!gone_) intake_.settle(*this);
   }
   void finish() {
+    if (gone_) return;
     gone_ = true;
     close();
     intake_.gone(*this);
@@ -212,6 +218,8 @@
 
  public:
   Millis usedAt;
+  Millis settled{-1};  // its place among those with patience
+  std::list<std::unique_ptr<Client>>::iterator self{};
 };
 
 Intake::Intake(Loop& loop, std::size_t mostClients, std::size_t mostBytes, Answer answer)
@@ -245,12 +253,19 @@
 }
 
 void Intake::gone(Client& client) {
-  auto at = std::find_if(clients_.begin(), clients_.end(), [&](const auto& c) { return c.get() == &client; });
-  if (at == clients_.end()) return;
+  patience_.erase({client.settled, &client});
+  auto at = client.self;
   loop_.bury(std::move(*at));
   clients_.erase(at);
 }
 
+void Intake::settle(Client& client) {
+  Millis patience = client.patience();
+  if (patience == client.settled) return;
+  patience_.erase({client.settled, &client});
+  patience_.insert({client.settled = patience, &client});
+}
+
 // A connection may be closed between commands; clients open more when they need them. One that lingers after
 // its error goes first.
 bool Intake::closeIdlest() {
@@ -292,6 +307,7 @@
     auto client = std::make_unique<Client>(*this, fd);
     if (!client->watch()) continue;
     clients_.push_back(std::move(client));
+    clients_.back()->self = std::prev(clients_.end());
     clients_.back()->ready(EPOLLIN);  // in this turn, as it may have waited for us with what it sent
   }
 }
@@ -312,16 +328,19 @@
 void Intake::tick() {
   shedHalfDone();
   if (acceptAgain_ >= 0 && loop_.now() >= acceptAgain_) accept();
-  for (auto at = clients_.begin(); at != clients_.end();) {
-    Client& client = **at++;
-    if (loop_.now() >= client.patience()) client.outOfPatience();
+  while (!patience_.empty() && patience_.begin()->first <= loop_.now()) {
+    Client& client = *patience_.begin()->second;
+    if (loop_.now() < client.patience()) {
+      settle(client);
+    } else {
+      client.outOfPatience();
+    }
   }
 }
 
 Millis Intake::due() const {
   Millis due = acceptAgain_ >= 0 ? acceptAgain_ : loop_.now() + kLinger;
-  for (const auto& client : clients_) due = std::min(due, client->patience());
-  return due;
+  return patience_.empty() ? due : std::min(due, patience_.begin()->first);
 }
 
 }  // namespace stonewing::net
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -42,6 +43,7 @@
   void accept();
   bool closeIdlest();
   void gone(Client& client);
+  void settle(Client& client);  // its patience may have changed
   void shedHalfDone();
 
   Loop& loop_;
@@ -53,6 +55,7 @@
   bool leaving_{false};
   Millis acceptAgain_{-1};  // after a lack of descriptors
   std::list<std::unique_ptr<Client>> clients_;
+  std::set<std::pair<Millis, Client*>> patience_;  // by when each is to be looked at
 };
 
 }  // namespace stonewing::net
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -148,6 +148,8 @@
     if (!c.overShare) t.left -= 1;
   }
   if (terms_.types[type.value].ordered && key.value != 0) s_.keys[key].waiting.push_back(id);
+  s_.outerLimits.insert({outerLimit, id});
+  s_.place(id, c);
 }
 
 // After a restart: what was out may have run, for the rules on effects and for the count of launches.
@@ -156,6 +158,8 @@
   c.launches.push_back(
       {.endpoint = &s_.endpoints.at(endpoint), .sent = sent, .out = false, .neverRan = neverRan});
   if (!neverRan && type(c).ordered) s_.keys[c.key].restUntil = s_.now + terms_.orderPause;
+  s_.spentFrom.insert({s_.now, id});
+  s_.place(id, c);
 }
 
 void Rules::answerStarted(CallbackId id, int launch) {
@@ -202,10 +206,25 @@
     if (type(*c).ordered && line != s_.keys.end()) line->second.restUntil = s_.now + terms_.orderPause;
   }
   c->notBefore = s_.now + (l.neverRan || worn ? 0 : kRetryPause * usual(p, type(*c)).p50);
+  s_.place(id, *c);
+  if (Millis at = spentAt(*c); c->settled() && at < c->outerLimit) s_.spentFrom.insert({at, id});
+  if (ending != Ending::withdrawn && ending != Ending::notSent) seen_ = {};
   if (isOver || ending == Ending::completed) over(id);
   s_.forgetSettled(id);
 }
 
+// When a settled callback may have no launch left: now, or when the window of one that may have run closes.
+Millis Rules::spentAt(const Callback& c) const {
+  const TrafficType& t = type(c);
+  if (t.effect == Effect::pure || !repeatAllowed(c, nullptr))
+    return repeatAllowed(c, nullptr) ? c.outerLimit : s_.now;
+  Millis at = c.outerLimit;
+  for (const Launch& l : c.launches) {
+    if (mayHaveRun(l)) at = std::min(at, l.sent + t.repeatWindow * (1 - kWindowMargin));
+  }
+  return at;
+}
+
 void Rules::clientGone(CallbackId id) { over(id); }
 
 // Also when it comes a rounding early: then what is due is asked for again.
@@ -220,6 +239,7 @@
   for (std::size_t n = 0; n < c->launches.size(); ++n) {
     if (c->launches[n].out && !c->launches[n].withdrawn) s_.losers.emplace_back(id, static_cast<int>(n));
   }
+  s_.place(id, *c);
   s_.forgetSettled(id);
   return id;
 }
@@ -543,6 +563,8 @@
   }
   c.copied = c.copied || copy;
   c.launches.push_back({.endpoint = &e, .sent = s_.now, .idle = idle, .call = e.batchCall, .copy = copy});
+  s_.place(id, c);
+  reached(s_.now + silenceOf(c, p));
   return {Act::launch, id, e.id, static_cast<int>(c.launches.size()) - 1, span};
 }
 
@@ -552,15 +574,21 @@
   return s_.now >= at;
 }
 
+Millis Rules::silenceOf(const Callback& c, const Path& p) const {
+  return kSilent * std::max(usual(p, type(c)).p95, kDelayLeast * type(c).promised);
+}
+
 // A hung endpoint gives no late answer to learn from: a path with nothing answered for long since a launch
-// went out is taken for out.
+// went out is taken for out. Looked at once a round, and again after an answer.
 void Rules::noticeSilence() {
-  for (auto& [id, c] : s_.callbacks) {
+  if (std::exchange(seen_.silence, s_.round) == s_.round) return;
+  for (CallbackId id : s_.out) {
+    Callback& c = s_.callbacks.at(id);
     for (Launch& l : c.launches) {
       if (!l.out || c.started) continue;
       Endpoint& e = *l.endpoint;
       Path& p = *e.path;
-      Millis silence = kSilent * std::max(usual(p, type(c)).p95, kDelayLeast * type(c).promised);
+      Millis silence = silenceOf(c, p);
       if (reached(l.sent + silence) && !p.outage && p.okAt <= l.sent) outageBegins(p, p.told);
       // One endpoint of several hangs: by a call that nothing overtook, or by several since the last answer.
       bool hangs = e.callsOut >= (e.okAt <= l.sent ? 1 : kFailuresToAvoid);
@@ -572,35 +600,48 @@
 }
 
 std::optional<Decision> Rules::dueAnswer() {
-  for (auto& [id, c] : s_.callbacks) {
-    if (c.over || c.started) continue;
-    reached(c.outerLimit);
-    bool spent = c.settled() && !c.launches.empty() && !repeatAllowed(c, nullptr);
-    if (s_.now < c.outerLimit && !spent) continue;
+  for (const auto& [limit, id] : s_.outerLimits) {
+    if (!reached(limit)) break;
+    if (!s_.callbacks.at(id).started) return Decision{Act::giveUp, over(id), {}, 0, 0};
+  }
+  while (!s_.spentFrom.empty() && reached(s_.spentFrom.begin()->first)) {
+    CallbackId id = s_.spentFrom.begin()->second;
+    s_.spentFrom.erase(s_.spentFrom.begin());
+    const Callback* c = s_.find(id);
+    if (c == nullptr || c->over || !c->settled() || c->launches.empty() || repeatAllowed(*c, nullptr))
+      continue;
     return Decision{Act::giveUp, over(id), {}, 0, 0};
   }
   return std::nullopt;
 }
 
 // Beyond the most that may be held the front turns callbacks away unseen: make room by what is worth least.
+// In a line the oldest has the least left.
 std::optional<Decision> Rules::makeRoom() {
   if (s_.held <= std::max(1, static_cast<int>(terms_.heldMost * (1 - kRoomKept)))) return std::nullopt;
-  const CallbackId* least = nullptr;
+  std::optional<CallbackId> least;
   double leastGain = 0;
   Millis away = 0;
-  for (auto& [id, c] : s_.callbacks) {
-    if (c.over || !c.settled() || !shedAllowed(c)) continue;
-    const auto& order = c.destination->ranking;
-    const Path* p = order.empty() ? nullptr : order.front()->path;
+  for (const Destination* d : s_.waitedFor) {
+    const Path* p = d->ranking.empty() ? nullptr : d->ranking.front()->path;
     Millis opens =
         p == nullptr ? s_.now : std::max({s_.now, p->waitUntil, p->outage ? s_.now + terms_.coldSpan : 0});
-    double gain = gainAt(c, opens);
-    if (least != nullptr && gain >= leastGain) continue;
-    least = &id;
-    leastGain = gain;
-    away = opens - s_.now;
+    for (const auto& [kind, line] : d->waiting.lines()) {
+      bool alike = !kind.launched || terms_.types[kind.type.value].effect == Effect::pure;
+      for (const auto& [limit, id] : line) {
+        const Callback& c = s_.callbacks.at(id);
+        if (!alike && !shedAllowed(c)) continue;
+        double gain = gainAt(c, opens);
+        if (!least || gain < leastGain || (gain <= leastGain && id < *least)) {
+          least = id;
+          leastGain = gain;
+          away = opens - s_.now;
+        }
+        break;
+      }
+    }
   }
-  if (least == nullptr) return std::nullopt;
+  if (!least) return std::nullopt;
   return Decision{
       Act::shed, over(*least), {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
 }
@@ -623,7 +664,12 @@
 std::optional<Decision> Rules::freeStuck() {
   if (!terms_.mayWithdraw) return std::nullopt;
   bool wanted = s_.slotsUsed >= terms_.slots;
-  for (auto& [id, c] : s_.callbacks) {
+  look();
+  if (wanted && !std::exchange(seen_.stuckWanted, wanted)) seen_.stuckFrom = {};
+  for (auto at = s_.out.lower_bound(seen_.stuckFrom); at != s_.out.end(); ++at) {
+    CallbackId id = *at;
+    seen_.stuckFrom = CallbackId{id.value + 1};
+    Callback& c = s_.callbacks.at(id);
     if (c.over || c.started) continue;
     bool repeat = repeatAllowed(c, nullptr);
     for (std::size_t n = 0; n < c.launches.size(); ++n) {
@@ -638,19 +684,28 @@
       if (s_.now < stuck || !(overtaken || (wanted && lost))) continue;
       l.withdrawn = true;
       s_.patience *= 1 - kPatienceCut;
+      seen_.stuckFrom = id;  // another launch of it may be stuck too
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
     }
   }
   return std::nullopt;
 }
 
+void Rules::look() {
+  if (seen_.round != s_.round) seen_ = {seen_.silence, s_.round, {}, {}, false};
+}
+
 std::optional<Decision> Rules::copyDue() {
   // Copies are the first to stop: while slots are short they would take what first launches need.
   if (!terms_.mayCopy || s_.retryBudget < 1) return std::nullopt;
   if (s_.slotsUsed >= terms_.slots * kCopySlots) return std::nullopt;
-  for (auto& [id, c] : s_.callbacks) {
+  look();
+  for (auto at = s_.out.lower_bound(seen_.copyFrom); at != s_.out.end(); ++at) {
+    CallbackId id = *at;
+    seen_.copyFrom = CallbackId{id.value + 1};
+    Callback& c = s_.callbacks.at(id);
     if (c.over || c.started || c.copied || type(c).effect == Effect::effectful) continue;
-    if (c.launches.empty() || !c.launches.back().out || c.launches.back().withdrawn) continue;
+    if (!c.launches.back().out || c.launches.back().withdrawn) continue;
     const Launch& l = c.launches.back();
     Millis due = l.sent + copyDelay(c, *l.endpoint, *l.endpoint->path, l.sent);
     if (!reached(due)) continue;
@@ -659,24 +714,54 @@
   return std::nullopt;
 }
 
+// Of a line the one that loses most by waiting. How much that is follows from the outer limit alone, and
+// turns from rising to falling only where the time left meets one of a few spans: the best stands beside one.
+template <class Visit>
+void Rules::mostUrgent(const WaitLine& line, const TrafficType& t, Millis from, Visit visit) const {
+  Millis step = kUrgencyStep * t.promised;
+  Millis lateAgain = t.outer - t.promised;
+  visit(line.begin()->second);
+  for (Millis left : {0.0, lateAgain}) {
+    for (Millis limit : {from + left, from + step + left}) Waiting::around(line, limit, visit);
+  }
+  if (terms_.decay != Decay::halving || t.lateShare <= 0) return;
+  Millis floor = lateAgain + t.promised * std::log2(t.lateShare);  // from there on nothing more is lost
+  for (Millis limit : {from + floor, from + step + floor}) Waiting::around(line, limit, visit);
+}
+
 std::optional<Decision> Rules::launchDue() {
   std::optional<CallbackId> best;
   Endpoint* bestTo = nullptr;
   std::tuple<double, Millis> bestPlace;
-  for (auto& [id, c] : s_.callbacks) {
-    if (c.over || !c.settled() || !keyFree(id, c)) continue;
-    if (!reached(c.notBefore)) continue;
-    Endpoint* to = choose(c, false);
-    if (to == nullptr) continue;
-    const Path& p = *to->path;
-    Millis latency = usual(p, type(c)).p50;
+  auto consider = [&](CallbackId id, const Callback& c, Endpoint* to) {
+    Millis latency = usual(*to->path, type(c)).p50;
     auto gainIn = [&](Millis late) { return gainAt(c, s_.now + latency + late); };
     double lost = gainIn(0) - gainIn(kUrgencyStep * type(c).promised);      // by waiting
     auto place = std::tuple(lost / std::max(1.0, latency), -c.outerLimit);  // for a slot's time
-    if (best && place <= bestPlace) continue;
+    if (best && (place < bestPlace || (place == bestPlace && *best <= id))) return;
     best = id;
     bestTo = to;
     bestPlace = place;
+  };
+  for (const Destination* d : s_.waitedFor) {
+    auto open = [&](Endpoint* e) { return joins(*e) || (pathOpen(*e->path) && room(*e->path, *e)); };
+    // All are asked, since each wants to be woken when it opens.
+    if (std::count_if(d->ranking.begin(), d->ranking.end(), open) == 0) continue;
+    for (const auto& [kind, line] : d->waiting.lines()) {
+      const TrafficType& t = terms_.types[kind.type.value];
+      if (!kind.launched && !t.ordered) {  // what one of them may, all may
+        Endpoint* to = choose(s_.callbacks.at(line.begin()->second), false);
+        if (to == nullptr) continue;
+        mostUrgent(line, t, s_.now + usual(*to->path, t).p50,
+                   [&](CallbackId id) { consider(id, s_.callbacks.at(id), to); });
+        continue;
+      }
+      for (const auto& [limit, id] : line) {
+        const Callback& c = s_.callbacks.at(id);
+        if (!keyFree(id, c) || !reached(c.notBefore)) continue;
+        if (Endpoint* to = choose(c, false)) consider(id, c, to);
+      }
+    }
   }
   if (!best) return std::nullopt;
   if (bestTo->callsOut == 0 && bestTo->usedAt >= 0 && s_.now - bestTo->usedAt > s_.idleTrusted) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -72,7 +72,11 @@
   bool room(const Path& p, const Endpoint& e);
   Endpoint* choose(const Callback& c, bool copy);
   Decision launch(CallbackId id, Endpoint& e, bool copy);
+  Millis spentAt(const Callback& c) const;
+  Millis silenceOf(const Callback& c, const Path& p) const;
   void noticeSilence();
+  template <class Visit>
+  void mostUrgent(const WaitLine& line, const TrafficType& t, Millis from, Visit visit) const;
   std::optional<Decision> dueAnswer();
   std::optional<Decision> makeRoom();
   std::optional<Decision> withdrawLoser();
@@ -89,6 +93,16 @@
   std::mt19937 chance_;
   InstanceState s_;
   Millis wakeWanted_{-1};
+  // Walks over the launches that are out go once through a round, however many decisions it brings: where
+  // each has got to. An answer makes all that was seen void.
+  struct Seen {
+    int silence{-1};  // the round in which silence was looked for
+    int round{-1};    // of the next four
+    CallbackId stuckFrom{};
+    CallbackId copyFrom{};
+    bool stuckWanted{false};
+  } seen_;
+  void look();
 };
 
 }  // namespace stonewing
