--- a/src/core/state.h
+++ b/src/core/state.h
@@ -181,7 +181,9 @@
   std::set<CallbackId> out;                             // callbacks with a launch out
   std::set<std::pair<Millis, CallbackId>> outerLimits;  // of all that are not over
   std::set<std::pair<Millis, CallbackId>> spentFrom;    // when a settled one may have no launch left
-  std::set<EndpointId> troubled;                        // failing, or on a path that is out
+  // Endpoints that may need a probe: those where something has changed, and the others by when they are due.
+  std::set<EndpointId> trials;
+  std::set<std::pair<Millis, EndpointId>> trialsDue;
   std::map<int, Call> calls;
   std::map<KeyId, KeyLine> keys;
   std::vector<Tenant> tenants;
@@ -208,7 +210,6 @@
         continue;
       }
       paths.erase(ownPath(e.id));
-      troubled.erase(e.id);
       at = endpoints.erase(at);
     }
     std::erase_if(keys,
@@ -218,7 +219,7 @@
   void failing(Endpoint& e, int failures) {
     e.failures = failures;
     e.failedAt = now;
-    troubled.insert(e.id);
+    trials.insert(e.id);
   }
   // Puts a callback where it now belongs; to be called after each change of its launches, and when it is
   // over.
--- a/src/lab/agenda.h
+++ b/src/lab/agenda.h
@@ -1,8 +1,15 @@
 #pragma once
 
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <system_error>
 #include <utility>
 
 #include "net/loop.h"
@@ -29,6 +36,45 @@
   std::uint64_t turn_{0};
 };
 
+// Wakes the loop to the microsecond. The loop itself sleeps in whole milliseconds, and a world that is up to
+// one late at each step has a tenth less capacity than its plan says.
+class Alarm : public net::Source {
+ public:
+  explicit Alarm(net::Loop& loop)
+      : loop_(loop), fd_(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
+    if (fd_ < 0 || !loop.watch(fd_, *this))
+      throw std::system_error(errno, std::generic_category(), "timerfd");
+  }
+  ~Alarm() override {
+    loop_.forget(fd_);
+    ::close(fd_);
+  }
+  void ready(std::uint32_t) override {
+    std::uint64_t times = 0;
+    (void)!::read(fd_, &times, sizeof times);
+  }
+  // One turn of the loop, with what is due in it.
+  void turn(Agenda& agenda) {
+    Millis due = agenda.due();
+    if (due != set_ && due < 1e14) {
+      Millis at = std::max(due, 0.001);
+      itimerspec when{};
+      when.it_value.tv_sec = static_cast<time_t>(at / 1000);
+      when.it_value.tv_nsec = static_cast<long>(std::fmod(at, 1000) * 1e6);
+      ::timerfd_settime(fd_, TFD_TIMER_ABSTIME, &when, nullptr);
+      set_ = due;
+    }
+    loop_.wait(due <= net::steadyNow() ? 0 : due + 1);
+    loop_.dispatch();
+    agenda.run(loop_.now());
+  }
+
+ private:
+  net::Loop& loop_;
+  int fd_;
+  Millis set_{-1};
+};
+
 // The clock of one experiment: zero at its start.
 struct Clock {
   const net::Loop& loop;
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -131,11 +131,7 @@
  private:
   Process& process(int d) { return *processes_[static_cast<std::size_t>(d)]; }
 
-  void turn() {
-    loop_.wait(agenda_.due());
-    loop_.dispatch();
-    agenda_.run(loop_.now());
-  }
+  void turn() { alarm_.turn(agenda_); }
 
   void begin() {
     played_.trace.events.clear();
@@ -258,6 +254,7 @@
   const RunChoices& choices_;
   net::Loop loop_;
   Agenda agenda_;
+  Alarm alarm_{loop_};
   Clock clock_{loop_};
   Interrupts interrupts_;
   Played played_;
@@ -278,6 +275,7 @@
 void serveWorld(const Plan& plan, std::uint64_t seed, const std::string& folder) {
   net::Loop loop;
   Agenda agenda;
+  Alarm alarm(loop);
   Clock clock{loop, net::steadyNow()};
   Interrupts interrupts(loop);
   Trace trace;
@@ -300,9 +298,7 @@
     agenda.at(clock.epoch + t.until, [&world, &t] { world.strike(t, false); });
   }
   while (!interrupts.seen) {
-    loop.wait(agenda.due());
-    loop.dispatch();
-    agenda.run(loop.now());
+    alarm.turn(agenda);
   }
   save(trace, folder);
 }
@@ -312,6 +308,7 @@
   Played played;
   net::Loop loop;
   Agenda agenda;
+  Alarm alarm(loop);
   Clock clock{loop, net::steadyNow()};
   Interrupts interrupts(loop);
   Clients clients(plan, seed, played.trace);
@@ -319,9 +316,7 @@
   load.start();
   Millis told = 0;
   while (!interrupts.seen && !load.done() && clock.now() < plan.end()) {
-    loop.wait(agenda.due());
-    loop.dispatch();
-    agenda.run(loop.now());
+    alarm.turn(agenda);
     if (progress && clock.now() > told) {
       progress(clock.now(), played.trace.events.size());
       told = clock.now() + kProgressEvery;
--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -268,6 +268,7 @@
   auto at = held_.find(id);
   if (at == held_.end()) return;
   heldBytes_ -= takenSize(at->second) + kReserve;
+  ++over_;
   byRef_.erase(at->second.ref);
   held_.erase(at);
 }
--- a/src/net/book.h
+++ b/src/net/book.h
@@ -80,6 +80,14 @@
     auto at = held_.find(id);
     return at == held_.end() ? nullptr : &at->second;
   }
+  // How many of those held have ended, in whatever way, and how full the journal is by what must stay in it:
+  // a rewrite needs as much again.
+  std::size_t overSoFar() const { return over_; }
+  double writingSoFar() const { return journal_.writing(); }
+  double full() const {
+    return journal_.most() == 0 ? 1
+                                : 2 * static_cast<double>(liveBytes()) / static_cast<double>(journal_.most());
+  }
   const std::map<CallbackId, Held>& held() const { return held_; }
   const std::map<CallbackId, Notice>& owed() const { return owed_; }
 
@@ -100,6 +108,7 @@
   Journal journal_;
   std::uint32_t next_{1};
   std::size_t heldBytes_{0};
+  std::size_t over_{0};
   std::map<CallbackId, Held> held_;
   std::map<CallbackId, Notice> owed_;
   std::unordered_map<std::string, CallbackId> byRef_;
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <chrono>
 #include <system_error>
 
 #include "core/bytes.h"
@@ -107,9 +108,11 @@
   return bytes;
 }
 
-bool Journal::writeAll(int fd, std::string_view bytes) const {
+bool Journal::writeAll(int fd, std::string_view bytes) {
   while (!bytes.empty()) {
+    auto began = std::chrono::steady_clock::now();
     ssize_t n = ::write(fd, bytes.data(), bytes.size());
+    writing_ += std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
     if (n < 0 && errno == EINTR) continue;
     if (n <= 0) return false;
     bytes.remove_prefix(static_cast<std::size_t>(n));
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -26,6 +26,8 @@
   // Puts the records of `live` (see framed) in place of all; a kill at any step leaves the old or the new.
   bool rewrite(std::string_view live);
 
+  // Milliseconds spent in writing so far: a slow folder holds its process up, and no processor time shows it.
+  double writing() const { return writing_; }
   std::size_t size() const { return size_; }
   std::size_t most() const { return most_; }
   static std::string framed(std::string_view record);  // in the version that is written now
@@ -36,12 +38,13 @@
   enum class Version : std::uint8_t { first = 1, second = 2 };
   static std::uint32_t sumOf(Version version, std::string_view bytes);
   static std::string framedAs(Version version, std::string_view record);
-  bool writeAll(int fd, std::string_view bytes) const;
+  bool writeAll(int fd, std::string_view bytes);
 
   std::string path_;
   std::size_t most_;
   int fd_{-1};
   std::size_t size_{0};
+  double writing_{0};
   Version version_{Version::second};
 };
 
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -9,7 +9,9 @@
 namespace stonewing::net {
 namespace {
 
-constexpr std::size_t kLinesMost = 200;
+// A body holds 64 KiB at most. Thousands of ends in a moment are overdue before many small bodies are
+// confirmed one after the other.
+constexpr std::size_t kBodyFull = 60 * 1024;
 constexpr std::size_t kAnswerMost = 64 * 1024;
 // The platform answers at once. A connection that died unseen says nothing, and an end is overdue soon.
 constexpr Millis kUnanswered = 100;
@@ -57,13 +59,13 @@
     if (!link_->open(platform_)) return later();
   }
   std::string lines;
-  std::size_t most = oneByOne_ ? 1 : kLinesMost;
   auto at = book_.owed().begin();
   // One by one, each in turn, so that one that cannot be read holds up no other.
   if (oneByOne_) std::advance(at, turn_++ % book_.owed().size());
-  for (; at != book_.owed().end() && out_.size() < most; ++at) {
+  for (; at != book_.owed().end() && lines.size() < kBodyFull; ++at) {
     lines += lineOf(at->second);
     out_.push_back(at->first);
+    if (oneByOne_) break;
   }
   link_->add("POST /reports HTTP/1.1\r\nHost: " + host_ + "\r\nContent-Type: application/x-ndjson\r\n" +
              "Content-Length: " + std::to_string(lines.size()) + "\r\n\r\n");
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <ctime>
 #include <nlohmann/json.hpp>
 #include <system_error>
 #include <utility>
@@ -25,6 +26,8 @@
 constexpr Millis kAnswersFor = 3500;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 constexpr std::size_t kMemoryForHalves = 10;  // the part of it for commands that have come in part
+constexpr Millis kSlowTurn = 100;             // a quarter of what a client waits
+constexpr Millis kSlowTold = 5000;
 constexpr std::size_t kSocketsKept = 32;  // for the journal, discovery, the platform, the log and the loop
 
 const char* nameOf(int state) {
@@ -117,12 +120,28 @@
   int fd_;
 };
 
+namespace {
+
+AdmissionTerms admissionTerms(const DeploymentTerms& terms) {
+  AdmissionTerms t;
+  t.heldMost = terms.heldMost;
+  t.mayAdvise = terms.shedAdvice;
+  t.longestAdvice = terms.longestAdvice;
+  t.gainMost = 0;
+  for (const TrafficType& type : terms.types) t.gainMost = std::max(t.gainMost, type.gain);
+  t.overShareGain = terms.overShareGain;
+  return t;
+}
+
+}  // namespace
+
 Dispatcher::Dispatcher(const Orders& orders, std::function<Orders()> reread)
     : orders_(orders),
       reread_(std::move(reread)),
       terms_(readFacts(orders.settings)),
       facts_(readHostFacts(orders.settings)),
       rules_(terms_, orders.seed),
+      admission_(admissionTerms(terms_), orders.seed + 1),
       book_(facts_, orders.state, orders.diskBytes),
       catalog_(loop_, rules_, facts_, needAddress(orders.discovery, "discovery"), orders.discovery),
       calls_(loop_, rules_, book_, catalog_, terms_, facts_, orders.sockets / 4),
@@ -177,17 +196,49 @@
       wakeAt_ = -1;
       rules_.woken();
     }
+    Millis began = steadyNow();
+    Millis worked = ownWork();
     loop_.dispatch();
+    Millis dispatched = steadyNow();
     if (std::exchange(rereadWanted_, false)) takeNewOrders();
     calls_.tick();
     catalog_.tick();
     intake_.tick();
     move();
     if (state_ < State::waiting) decide();
+    Millis decided = steadyNow();
     notices_.tick();
+    for (; overBefore_ < book_.overSoFar(); ++overBefore_) admission_.ended(loop_.now());
+    admission_.turnEnded(loop_.now(), ownWork() - worked);
+    tellSlow(dispatched - began, decided - dispatched, steadyNow() - began);
   }
 }
 
+// Danger: a process that was stopped in the middle of a turn is not slow; it has much to read, and turning
+// that away would cost what could still be delivered. So its own processor time counts, and what writing
+// took.
+Millis Dispatcher::ownWork() const {
+  timespec spent{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+  return static_cast<Millis>(spent.tv_sec) * 1000 + static_cast<Millis>(spent.tv_nsec) / 1e6 +
+         book_.writingSoFar();
+}
+
+// A turn that took too long is told with its parts, at once the first time and then every few seconds.
+void Dispatcher::tellSlow(Millis dispatched, Millis decided, Millis whole) {
+  if (whole < kSlowTurn) return;
+  ++slowTurns_;
+  if (loop_.now() < slowTold_ + kSlowTold) return;
+  slowTold_ = loop_.now();
+  log::warn("loop.slow", {{"turn_ms", whole},
+                          {"reading_ms", dispatched},
+                          {"deciding_ms", decided},
+                          {"rest_ms", whole - dispatched - decided},
+                          {"turns", std::exchange(slowTurns_, 0)},
+                          {"held", book_.held().size()},
+                          {"clients", intake_.clients()}});
+}
+
 // Discovery and the platform may have moved. The old address closes what is open there, and what it no longer
 // tells counts as told all the same, so the new one is asked at once. The rest is for the next start.
 void Dispatcher::takeNewOrders() {
@@ -243,6 +294,11 @@
   throw Malformed("unknown command");
 }
 
+std::string Dispatcher::busy(Millis wait) {
+  if (wait <= 0) return "-BUSY\r\n";
+  return "-BUSY " + std::to_string(static_cast<std::int64_t>(std::ceil(wait))) + "\r\n";
+}
+
 std::string Dispatcher::submit(const std::vector<std::string_view>& words, bool left) {
   if (words.size() != 5) throw Malformed("SUBMIT takes key, id, list and body");
   Millis wall = std::floor(wallNow());  // whole, so that equal spans stay equal
@@ -255,7 +311,11 @@
   }
   // Refused unseen, which is harmless: out of places, on the way out, or the client has not waited for us and
   // hands it in elsewhere; taken on too, it would be delivered for nothing.
-  if (left || state_ > State::leaving || rules_.state().held >= terms_.heldMost) return "-BUSY\r\n";
+  if (left || state_ > State::leaving) return "-BUSY\r\n";
+  AdmissionFacts facts{loop_.now(), rules_.state().held, book_.full()};
+  AdmissionCall call =
+      admission_.asked(facts, terms_.types.at(held.type.value).gain, rules_.overShare(held.tenant));
+  if (!call.take) return busy(call.wait);
   held.outerWall -= loop_.heldUp();  // its time counts from when the client sent it
   Millis outer = loop_.now() + (held.outerWall - wall);
   TrafficTypeId type = held.type;
@@ -263,7 +323,7 @@
   KeyId key = held.key;
   DestinationId destination = held.destination;
   auto id = book_.take(std::move(held));
-  if (!id) return "-BUSY\r\n";
+  if (!id) return busy(admission_.refusal(loop_.now()));
   rules_.taken(*id, type, tenant, key, destination, outer);
   log::debug("callback.taken", {{"callback", words[2]},
                                 {"type", facts_.types[type.value]},
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "admission/admission.h"
 #include "core/facts.h"
 #include "net/book.h"
 #include "net/calls.h"
@@ -64,6 +65,9 @@
   void move();
   std::string answer(const std::vector<std::string_view>& words, bool left);
   std::string submit(const std::vector<std::string_view>& words, bool left);
+  std::string busy(Millis wait);
+  Millis ownWork() const;
+  void tellSlow(Millis dispatched, Millis decided, Millis whole);
   void decide();
   void ended(CallbackId id, const char* result, Millis wait);
   void carryOut(const Decision& decision);
@@ -76,10 +80,14 @@
   State state_{State::restoring};
   Millis toldToEnd_{0};
   Millis wakeAt_{-1};
+  std::size_t overBefore_{0};
+  Millis slowTold_{-1e15};
+  int slowTurns_{0};
   bool endWanted_{false};
   bool rereadWanted_{false};
   Loop loop_;
   Rules rules_;
+  Admission admission_;
   Book book_;
   Catalog catalog_;
   Calls calls_;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -113,7 +113,7 @@
     if (e.phase != Phase::ready) continue;
     e.path->endpoints.push_back(&e);
     e.destination->ranking.push_back(&e);
-    if (e.path->outage || e.failures > 0) s_.troubled.insert(id);
+    if (e.path->outage || e.failures > 0) s_.trials.insert(id);
   }
   // Fixed for each destination; the own zone goes first, since crossing zones takes time and is priced.
   auto place = [&](const Endpoint* e) {
@@ -289,10 +289,15 @@
 
 void Rules::outageBegins(Path& p, bool told) {
   p.outage = true;
-  for (const Endpoint* e : p.endpoints) s_.troubled.insert(e->id);
   p.told = told;
   p.cold = false;
   p.nextPush = std::max(p.waitUntil, s_.now) + coldSpacing(p) * draw();
+  lookAgain(p);
+}
+
+// Something has changed by which its endpoints may be probed sooner.
+void Rules::lookAgain(const Path& p) {
+  for (const Endpoint* e : p.endpoints) s_.trials.insert(e->id);
 }
 
 void Rules::returned(Path& p) {
@@ -302,6 +307,7 @@
   p.nextPush = s_.now + coldSpacing(p) * draw();
   p.okShare = 1;
   p.refusals = 0;
+  lookAgain(p);
 }
 
 void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
@@ -325,7 +331,7 @@
   if (p.outage && p.told) returned(p);
   p.okAt = s_.now;
   p.okSentAt = std::max(p.okSentAt, sent);
-  p.outage = false;
+  if (std::exchange(p.outage, false)) lookAgain(p);
   p.okShare += kOkSharePart * (1 - p.okShare);
   p.refusedSince = -1;
   if (sent >= p.refusedAt) p.refusals = std::max(0.0, p.refusals - kRelief);
@@ -361,6 +367,7 @@
   if (at == s_.endpoints.end()) return;
   Path& p = *at->second.path;
   p.probeOut = false;
+  lookAgain(p);
   if (limit > 0) p.limitTold = limit;
   if (ending != Ending::completed) {
     p.told = true;
@@ -413,7 +420,10 @@
 
 bool Rules::pathOpen(Path& p) {
   if (!reached(std::max({p.waitUntil, p.pauseUntil, p.paceUntil}))) return false;
-  if (p.cold && s_.now - p.coldSince >= terms_.coldSpan) p.cold = p.told = false;
+  if (p.cold && s_.now - p.coldSince >= terms_.coldSpan) {
+    p.cold = p.told = false;
+    lookAgain(p);
+  }
   if (!p.outage && !p.cold) return true;
   if (p.outage && terms_.mayProbe) return false;
   reached(p.cold ? std::min(p.nextPush, p.coldSince + terms_.coldSpan) : p.nextPush);
@@ -790,19 +800,24 @@
 // Whether a destination is back shows by a probe at a time, so that no callback is bound to a lost launch.
 std::optional<Decision> Rules::trial() {
   if (!terms_.mayProbe) return std::nullopt;
-  for (auto at = s_.troubled.begin(); at != s_.troubled.end();) {
-    EndpointId id = *at;
-    Endpoint& e = s_.endpoints[id];
+  while (!s_.trialsDue.empty() && reached(s_.trialsDue.begin()->first)) {
+    s_.trials.insert(s_.trialsDue.extract(s_.trialsDue.begin()).value().second);
+  }
+  while (!s_.trials.empty()) {
+    EndpointId id = *s_.trials.begin();
+    s_.trials.erase(s_.trials.begin());
+    auto known = s_.endpoints.find(id);
+    if (known == s_.endpoints.end()) continue;
+    Endpoint& e = known->second;
     Path& p = *e.path;
-    if (e.phase != Phase::ready || (!p.outage && e.failures < kFailuresToAvoid)) {
-      at = s_.troubled.erase(at);
-      continue;
-    }
-    ++at;
+    if (e.phase != Phase::ready || (!p.outage && e.failures < kFailuresToAvoid)) continue;
     bool turn = p.outage && p.endpoints[p.trialTurn % p.endpoints.size()] == &e;
-    if (p.probeOut || (!turn && (p.outage || e.failures < kFailuresToAvoid))) continue;
+    if (p.probeOut || (!turn && p.outage)) continue;  // looked at again when the probe has ended
     Millis due = std::max({p.outage || p.cold ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil});
-    if (!reached(due)) continue;
+    if (!reached(due)) {
+      s_.trialsDue.insert({due, id});
+      continue;
+    }
     if (p.outage) ++p.trialTurn;
     p.probeOut = true;
     pushed(p);
--- a/src/rules.h
+++ b/src/rules.h
@@ -35,6 +35,10 @@
   void clientGone(CallbackId id);
   void woken();
   std::optional<Decision> next();
+  // Whether a tenant is above its share here, as far as its last callback told.
+  bool overShare(TenantId tenant) const {
+    return tenant.value < s_.tenants.size() && s_.tenants[tenant.value].left < 1;
+  }
   // Whether a launch that was decided earlier may still be sent.
   bool mayBegin(CallbackId id, int launch) const;
 
@@ -54,6 +58,7 @@
   Millis copyDelay(const Callback& c, const Endpoint& e, const Path& p, Millis sent) const;
   void cut(Path& p, Millis sent);
   Millis pause(const Path& p);
+  void lookAgain(const Path& p);
   void outageBegins(Path& p, bool told);
   void returned(Path& p);
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,174 @@
+// Our own overload: what is turned away and when, and the lines in which callbacks wait.
+#include "admission/admission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "bench_free.h"
+#include "index/waiting.h"
+
+namespace stonewing::testing {
+namespace {
+
+AdmissionTerms admissionTerms() {
+  AdmissionTerms t;
+  t.heldMost = 100;
+  t.mayAdvise = true;
+  t.longestAdvice = 2000;
+  t.gainMost = 2;
+  t.overShareGain = 0.05;
+  return t;
+}
+
+TEST(Admission, TakesAllWhileNothingPresses) {
+  Admission a(admissionTerms(), 1);
+  for (int n = 0; n < 50; ++n) a.turnEnded(n, 5);
+  EXPECT_TRUE(a.asked({50, 99, 0.5}, 0.01, true).take);
+  EXPECT_FALSE(a.asked({50, 100, 0.5}, 2, false).take);
+}
+
+// Danger: a loop that is behind answers everybody too late; then they all hand in again, and it stays behind.
+TEST(Admission, TurnsAwayWhatIsWorthLeastFirstWhileTheLoopIsBehindAndStopsSoonAfter) {
+  Admission a(admissionTerms(), 1);
+  a.turnEnded(1000, 60);
+  EXPECT_FALSE(a.asked({1000, 10, 0}, 2, true).take);
+  EXPECT_FALSE(a.asked({1000, 10, 0}, 0.5, false).take);
+  EXPECT_TRUE(a.asked({1000, 10, 0}, 1, false).take);
+  EXPECT_TRUE(a.asked({1000, 10, 0}, 2, false).take);
+  a.turnEnded(1060, 200);
+  EXPECT_FALSE(a.asked({1060, 10, 0}, 2, false).take);
+  for (int n = 1; n <= 8; ++n) a.turnEnded(1060 + n, 2);
+  EXPECT_TRUE(a.asked({1070, 10, 0}, 0.01, true).take);
+  a.turnEnded(1100, 500);
+  EXPECT_TRUE(a.asked({9000, 10, 0}, 0.01, true).take);  // a rest ends it too
+}
+
+TEST(Admission, AJournalThatFillsUpKeepsTheRestForWhatIsWorthMore) {
+  Admission a(admissionTerms(), 1);
+  EXPECT_TRUE(a.asked({0, 10, 0.9}, 0.01, true).take);
+  EXPECT_FALSE(a.asked({0, 10, 0.95}, 0.9, false).take);
+  EXPECT_TRUE(a.asked({0, 10, 0.95}, 2, false).take);
+  EXPECT_FALSE(a.asked({0, 10, 1}, 2, false).take);
+}
+
+// Danger: told one and the same time, all who were refused come back in one moment.
+TEST(Admission, TellsTimesThatLieApartAndFollowTheRateOfEnds) {
+  Admission a(admissionTerms(), 1);
+  for (int n = 0; n < 100; ++n) a.ended(n * 10.0);  // a hundred a second
+  std::set<int> told;
+  Millis first = 0, last = 0;
+  for (int n = 0; n < 40; ++n) {
+    last = a.asked({1000, 100, 0}, 2, false).wait;
+    if (n == 0) first = last;
+    told.insert(static_cast<int>(last));
+    EXPECT_GE(last, 20);
+    EXPECT_LE(last, 2000);
+  }
+  EXPECT_GT(told.size(), 25u);
+  EXPECT_GT(last, 3 * first);
+  AdmissionTerms quiet = admissionTerms();
+  quiet.mayAdvise = false;
+  EXPECT_EQ(Admission(quiet, 1).asked({0, 100, 0}, 2, false).wait, 0);
+}
+
+RC_GTEST_PROP(Admission, NeverTakesWhatIsWorthLessThanWhatItRefuses,
+              (std::uint16_t work, std::uint16_t full)) {
+  Admission a(admissionTerms(), 7);
+  a.turnEnded(10, work % 150);
+  AdmissionFacts facts{10, 50, (full % 110) / 100.0};
+  bool refusedMore = false;
+  for (double gain = 2; gain > 0; gain -= 0.1) {
+    bool take = a.asked(facts, gain, false).take;
+    RC_ASSERT(!(refusedMore && take));
+    refusedMore = refusedMore || !take;
+  }
+}
+
+// A line finds the same callbacks beside an outer limit as a walk over all of it.
+RC_GTEST_PROP(Waiting, FindsWhatStandsBesideALimit, (std::vector<std::uint8_t> limits, std::uint8_t asked)) {
+  Waiting waiting;
+  WaitKind kind{TrafficTypeId{1}, false, false};
+  std::set<std::pair<Millis, CallbackId>> plain;
+  for (std::uint32_t n = 0; n < limits.size(); ++n) {
+    Millis limit = limits[n] % 16;
+    if (n % 5 == 4) {
+      waiting.remove(kind, limits[n - 1] % 16, CallbackId{n - 1});
+      plain.erase({limits[n - 1] % 16, CallbackId{n - 1}});
+    }
+    waiting.add(kind, limit, CallbackId{n});
+    plain.insert({limit, CallbackId{n}});
+  }
+  RC_ASSERT(waiting.empty() == plain.empty());
+  if (plain.empty()) return;
+  std::vector<CallbackId> found, expected;
+  Waiting::around(waiting.lines().at(kind), asked % 16, [&](CallbackId id) { found.push_back(id); });
+  const std::pair<Millis, CallbackId>*after = nullptr, *before = nullptr;
+  for (const auto& entry : plain) {
+    if (entry.first >= asked % 16 && after == nullptr) after = &entry;
+    if (entry.first < asked % 16 && (before == nullptr || entry.first > before->first)) before = &entry;
+  }
+  if (after != nullptr) expected.push_back(after->second);
+  if (before != nullptr) expected.push_back(before->second);
+  RC_ASSERT(found == expected);
+}
+
+// The choice among those that wait is the one that a walk over all of them makes.
+RC_GTEST_PROP(Waiting, TheMostUrgentIsFoundWithoutAWalk, (std::uint32_t seed)) {
+  std::mt19937 chance(seed);
+  DeploymentTerms terms = plainTerms();
+  terms.decay = chance() % 2 == 0 ? Decay::linear : Decay::halving;
+  terms.types = {trafficType(Effect::pure), trafficType(Effect::receipted)};
+  terms.types[1].gain = 1.7;
+  terms.types[1].promised = 600;
+  terms.types[0].lateShare = chance() % 3 == 0 ? 0 : 0.3;
+  terms.slots = 1;
+  Bed bed(terms);
+  std::map<std::uint32_t, std::pair<std::uint16_t, Millis>> waits;
+  for (std::uint32_t id = 1; id <= 40; ++id) {
+    Millis outer = bed.now + 20 + chance() % 10000;
+    auto type = static_cast<std::uint16_t>(chance() % 2);
+    bed.rules.taken(CallbackId{id}, TrafficTypeId{type}, TenantId{0}, KeyId{0}, DestinationId{1}, outer);
+    waits[id] = {type, outer};
+  }
+  auto launches = bed.pull(Act::launch);
+  RC_ASSERT(launches.size() == 1u);
+  auto urgency = [&](std::uint32_t id) {
+    auto [type, outer] = waits.at(id);
+    const TrafficType& t = terms.types[type];
+    Millis latency = t.promised * 0.6 / 2;  // nothing was measured yet
+    auto gainAt = [&](Millis at) {
+      return at > outer ? 0 : t.gain * t.shareLeft(at - (outer - t.outer) - t.promised, terms.decay);
+    };
+    Millis from = bed.now + latency;
+    return (gainAt(from) - gainAt(from + 0.5 * t.promised)) / std::max(1.0, latency);
+  };
+  double chosen = urgency(launches[0].callback.value);
+  for (const auto& [id, w] : waits) RC_ASSERT(urgency(id) <= chosen + 1e-9);
+}
+
+// Danger: the worse it gets outside, the slower we become. The cost of a decision must not grow with what is
+// held.
+TEST(Passes, CostByWhatIsDueAndNotByWhatIsHeld) {
+  auto spent = [](int held) {
+    DeploymentTerms terms = plainTerms();
+    terms.slots = 20;
+    terms.heldMost = 100000;
+    Bed bed(terms);
+    for (int n = 0; n < held; ++n) bed.take(static_cast<std::uint32_t>(n + 1));
+    bed.pull(Act::launch);
+    auto began = std::chrono::steady_clock::now();
+    for (int n = 0; n < 300; ++n) {
+      bed.to(bed.now + 0.01);
+      bed.pull(Act::launch);
+    }
+    return std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+  };
+  double few = spent(200);
+  double many = spent(20000);
+  EXPECT_LT(many, 20 * few + 0.01);  // a walk costs a hundred times as much
+}
+
+}  // namespace
+}  // namespace stonewing::testing
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -93,6 +93,16 @@
       std::string::npos);
 }
 
+TEST(Plans, TakeWhatTheCommandLinePutsInPlaceOfTheFile) {
+  Plan plan = readPlan(kPlan, "plan.toml", {"load.per_s=90", "fleet.held=12", "name=\"other\""});
+  EXPECT_EQ(plan.load.perSecond, 90);
+  EXPECT_EQ(plan.fleet.held, 12);
+  EXPECT_EQ(plan.name, "other");
+  EXPECT_THROW(readPlan(kPlan, "plan.toml", {"load.per_s"}), Malformed);
+  EXPECT_THROW(readPlan(kPlan, "plan.toml", {"name=other"}), Malformed);
+  EXPECT_THROW(readPlan(kPlan, "plan.toml", {"load.pers=90"}), Malformed);
+}
+
 // ---- the audit ----
 
 // A trace by hand: one callback of each type of the plan, handed to dispatcher 0 and taken.
