--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -309,7 +309,7 @@
   compares->add_option("--other-policy", c.otherPolicy, "of B")->check(CLI::IsMember(policyNames()));
   compares->add_option("--other-lab", c.otherLab, "B in the model of another build of this program")
       ->check(CLI::ExistingFile);
-  compares->add_option("--other-set", c.otherChanges, "table.key=value for B alone")->expected(1);
+  compares->add_option("--other-set", c.otherChanges, "table.key=value for B alone")->allow_extra_args(false);
   compares->add_flag("--sockets", c.sockets, "real dispatchers in place of the model");
   compares->add_option("--dispatcher", c.dispatcher, "A on sockets")->check(CLI::ExistingFile);
   compares->add_option("--other-dispatcher", c.otherDispatcher, "B on sockets")->check(CLI::ExistingFile);
