--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -286,7 +286,7 @@
     sub->add_option("--seed", c.seed, "in place of the file's")
         ->check(CLI::Range(std::int64_t{0}, std::int64_t{1} << 52));
     sub->add_option("--set", c.changes, "table.key=value in place of the file's, as often as needed")
-        ->expected(1);
+        ->allow_extra_args(false);
     sub->add_option("--out", c.out, "folder for the report");
   };
   auto* runs =
