Silence shows although launches are called off; what has come is read before a launch is

Cause: with all slots out freeStuck calls launches off after a few p95 (9 ms here), and noticeSilence looks only at launches that are out for 900 ms: none ever was, so no path was taken for out. A launch was called off without reading its connection first; and the laboratory wrote replies to connections that had been ended already and counted them as delivered.

Change: a path remembers the first launch called off since its last completion, and its silence counts from there. Calls reads a connection before it calls it off or times it out; the loop gathers all events that are there, not 256, before a turn decides. The laboratory asks whether the other side has left before it counts a reply.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -121,6 +121,7 @@
   double okShare{1};
   Millis okAt{0};
   Millis okSentAt{0};
+  Millis calledOff{0};  // sent time of the first launch called off since the last completion
   bool outage{false};
   bool told{false};
   Millis coldSince{0};
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <strings.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -83,6 +84,12 @@
   if (got == net::Got::more) loop_.again(fd_);
 }
 
+bool Served::left() const {
+  if (fd_ < 0) return true;
+  pollfd asked{fd_, POLLRDHUP, 0};
+  return ::poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Served::end() {
   if (fd_ < 0) return;
   loop_.forget(fd_);
--- a/src/lab/server.h
+++ b/src/lab/server.h
@@ -31,6 +31,8 @@
   void deaf(bool on);  // nothing is read or written, as if the network were gone
   void ready(std::uint32_t events) override;
   bool open() const { return fd_ >= 0; }
+  // The other side has ended its part, though we may not have been told yet.
+  bool left() const;
 
  private:
   void read();
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -310,6 +310,8 @@
 void World::write(std::uint32_t call, const Reply& r) {
   auto at = out_.find(call);
   if (at == out_.end()) return;
+  // Called off while the reply was on its way: nobody hears it, and the end of its connection says so.
+  if (!town_.vanished(at->second.endpoint) && at->second.served->left()) return;
   Out out = std::move(at->second);
   out_.erase(at);
   callOf_.erase(out.served);
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -183,9 +183,14 @@
   lines_.erase(at);
 }
 
+// Danger: while the loop is behind, the answer of a launch that is called off may lie unread; closed on it, the
+// callback would be launched again after it was delivered.
 void Calls::withdraw(const Decision& d) {
   auto at = carries_.find({d.callback, d.launch});
   if (at == carries_.end()) return;
+  at->second->catchUp();
+  at = carries_.find({d.callback, d.launch});
+  if (at == carries_.end()) return;  // its end was there already
   Line& line = *at->second;
   for (Member& m : line.members) {
     if (m.callback != d.callback || m.launch != d.launch || m.told) continue;
@@ -386,6 +391,12 @@
 }
 
 void Calls::look(Line& line) {
+  if (line.busy() && line.lastByteWritten()) {  // its answer may lie there unread
+    std::size_t links = lines_.size();
+    line.catchUp();
+    if (lines_.size() < links) return;  // released
+    if (!line.busy() || loop_.now() < dueOf(line)) return settle(line);
+  }
   bool spoilt = line.busy() && line.wholeBy >= 0 && loop_.now() >= line.wholeBy;
   if (line.failed || spoilt || loop_.now() >= connectBy(line)) return broke(line);
   if (!line.busy()) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -66,6 +66,10 @@
   // What was added goes out as one exchange; errors are told in a later turn.
   void begin();
   void close();
+  // Takes what has come and was not handed out yet. Its owner may hear of the end by it, and release it.
+  void catchUp() {
+    if (fd_ >= 0 && up_ && busy_) read();
+  }
   // Nothing is lost on it yet: no end and no stray byte has come while it stood idle.
   bool stillGood() const;
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -17,7 +17,8 @@
 namespace stonewing::net {
 namespace {
 
-constexpr int kEventsATurn = 256;
+constexpr int kEventsAtOnce = 256;
+constexpr int kGathersATurn = 16;
 constexpr std::size_t kTurnPart = 64 * 1024;  // of one source, so that a busy one leaves room for others
 constexpr std::size_t kChunk = 16 * 1024;
 constexpr std::size_t kGathered = 64;
@@ -61,13 +62,18 @@
   if (heldUp_ > 0) gather(0);  // a stop ends a sleep early, and what came meanwhile belongs to this turn
 }
 
+// All that has come belongs to the turn: what is decided in it must not be decided on half of what is there.
 void Loop::gather(int timeout) {
-  std::array<epoll_event, kEventsATurn> raw;
-  int n = epoll_wait(epoll_, raw.data(), kEventsATurn, timeout);
-  if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
-  for (int i = 0; i < n; ++i) {
-    const epoll_event& event = raw[static_cast<std::size_t>(i)];
-    events_.emplace_back(event.data.u64, event.events);
+  for (int more = kGathersATurn; more > 0; --more) {
+    std::array<epoll_event, kEventsAtOnce> raw;
+    int n = epoll_wait(epoll_, raw.data(), kEventsAtOnce, timeout);
+    if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+    for (int i = 0; i < n; ++i) {
+      const epoll_event& event = raw[static_cast<std::size_t>(i)];
+      events_.emplace_back(event.data.u64, event.events);
+    }
+    if (n < kEventsAtOnce) return;
+    timeout = 0;
   }
 }
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -599,7 +599,9 @@
       Endpoint& e = *l.endpoint;
       Path& p = *e.path;
       Millis silence = silenceOf(c, p);
-      if (reached(l.sent + silence) && !p.outage && p.okAt <= l.sent) outageBegins(p, p.told);
+      // Danger: with all slots out launches are called off before they are out for long, and none shows it.
+      Millis since = p.calledOff > p.okAt ? std::min(p.calledOff, l.sent) : l.sent;
+      if (reached(since + silence) && !p.outage && p.okAt <= since) outageBegins(p, p.told);
       // One endpoint of several hangs: by a call that nothing overtook, or by several since the last answer.
       bool hangs = e.callsOut >= (e.okAt <= l.sent ? 1 : kFailuresToAvoid);
       if (e.silent || !hangs || !reached(std::max(l.sent, e.okAt) + silence)) continue;
@@ -685,7 +687,7 @@
     for (std::size_t n = 0; n < c.launches.size(); ++n) {
       Launch& l = c.launches[n];
       if (!l.out || l.withdrawn) continue;
-      const Path& p = *l.endpoint->path;
+      Path& p = *l.endpoint->path;
       Millis p95 = usual(p, type(c)).p95;
       Millis stuck = l.sent + (kStuckLost + (kStuck - kStuckLost) * s_.patience) * p95;
       reached(stuck);
@@ -693,6 +695,7 @@
       bool lost = repeat || s_.now - l.sent > (p.outage || l.endpoint->silent ? kStuck : 2 * kStuck) * p95;
       if (s_.now < stuck || !(overtaken || (wanted && lost))) continue;
       l.withdrawn = true;
+      if (p.calledOff <= p.okAt) p.calledOff = l.sent;
       s_.patience *= 1 - kPatienceCut;
       seen_.stuckFrom = id;  // another launch of it may be stuck too
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
