A path is silent when each of its endpoints is; calling off and copies hide none of them

With all slots out, or where copies won each time, a hung endpoint never showed at all: its launches were called off or withdrawn as losers before one was out for so long.

Change: silence belongs to the endpoint. Launches that were called off or lost to their copy since its last completion count from the first of them (four at least). A path is out by silence once all its endpoints fail. A path that returns cold takes first what still brings most, not what loses most by waiting.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -88,6 +88,8 @@
   int failures{0};
   Millis failedAt{0};
   Millis okAt{0};
+  int unheard{0};  // launches called off since its last completion, and when the first of them was sent
+  Millis unheardSince{0};
   bool silent{false};  // nothing has come back for long, from its oldest calls out nor later ones
   Millis goneAt{-1};   // not listed any more since then; -1 while it is
   Millis usedAt{-1};   // end of its last call, while a connection may be idle; -1 for none
@@ -98,8 +100,11 @@
   int batchSize{0};
   Samples samples;
 
+  void calledOff(Millis sent) {
+    if (unheard++ == 0) unheardSince = sent;
+  }
   void works() {
-    failures = 0;
+    failures = unheard = 0;
     silent = false;
   }
 };
@@ -121,7 +126,6 @@
   double okShare{1};
   Millis okAt{0};
   Millis okSentAt{0};
-  Millis calledOff{0};  // sent time of the first launch called off since the last completion
   bool outage{false};
   bool told{false};
   Millis coldSince{0};
@@ -133,6 +137,11 @@
   Millis okCounted{0};
   double limitTold{0};
   Samples samples;
+
+  bool allFailed(int times) const {
+    return std::all_of(endpoints.begin(), endpoints.end(),
+                       [&](const Endpoint* e) { return e->failures >= times; });
+  }
 };
 
 // Endpoints in their fixed order, and all calls out, also those at endpoints that drain.
--- a/src/index/waiting.h
+++ b/src/index/waiting.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <compare>
+#include <initializer_list>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -35,14 +37,16 @@
   bool empty() const { return lines_.empty(); }
   const std::map<WaitKind, WaitLine>& lines() const { return lines_; }
 
-  // The callbacks on both sides of an outer limit: the first at or after it, and the first of those that
-  // share the latest one before it.
+  // The first of a line and, for each outer limit, those on both sides of it: the first at or after it, and
+  // the first of those that share the latest one before it.
   template <class Visit>
-  static void around(const WaitLine& line, Millis limit, Visit visit) {
-    auto at = line.lower_bound({limit, CallbackId{0}});
-    if (at != line.end()) visit(at->second);
-    if (at == line.begin()) return;
-    visit(line.lower_bound({std::prev(at)->first, CallbackId{0}})->second);
+  static void beside(const WaitLine& line, std::initializer_list<Millis> limits, Visit visit) {
+    visit(line.begin()->second);
+    for (Millis limit : limits) {
+      auto at = line.lower_bound({limit, CallbackId{0}});
+      if (at != line.end()) visit(at->second);
+      if (at != line.begin()) visit(line.lower_bound({std::prev(at)->first, CallbackId{0}})->second);
+    }
   }
 
  private:
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -183,8 +183,8 @@
   lines_.erase(at);
 }
 
-// Danger: while the loop is behind, the answer of a launch that is called off may lie unread; closed on it, the
-// callback would be launched again after it was delivered.
+// Danger: while the loop is behind, the answer of a launch that is called off may lie unread; closed on it,
+// the callback would be launched again after it was delivered.
 void Calls::withdraw(const Decision& d) {
   auto at = carries_.find({d.callback, d.launch});
   if (at == carries_.end()) return;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -37,6 +37,7 @@
 constexpr double kOkSharePart = 1.0 / 8;      // of each answer in the running share that completes
 constexpr double kOkShareHard = 0.4;          // in place of it for a failed connection
 constexpr double kOkShareOutage = 0.5;
+constexpr int kUnheard = 4;            // launches called off since its last answer that count as silence
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
 constexpr double kRefusalsMost = 4;    // doublings of the pause after refusals
 constexpr double kRelief = 0.35;       // of a doubling, taken back by a completion
@@ -599,14 +600,14 @@
       Endpoint& e = *l.endpoint;
       Path& p = *e.path;
       Millis silence = silenceOf(c, p);
-      // Danger: with all slots out launches are called off before they are out for long, and none shows it.
-      Millis since = p.calledOff > p.okAt ? std::min(p.calledOff, l.sent) : l.sent;
-      if (reached(since + silence) && !p.outage && p.okAt <= since) outageBegins(p, p.told);
       // One endpoint of several hangs: by a call that nothing overtook, or by several since the last answer.
-      bool hangs = e.callsOut >= (e.okAt <= l.sent ? 1 : kFailuresToAvoid);
-      if (e.silent || !hangs || !reached(std::max(l.sent, e.okAt) + silence)) continue;
+      // Danger: with all slots out launches are called off before one is out for so long.
+      Millis since = e.unheard >= kUnheard ? std::min(e.unheardSince, l.sent) : l.sent;
+      bool hangs = e.callsOut >= (e.okAt <= since ? 1 : kFailuresToAvoid);
+      if (e.silent || !hangs || !reached(std::max(since, e.okAt) + silence)) continue;
       e.silent = true;
       s_.failing(e, std::max(e.failures, kFailuresToAvoid));
+      if (!p.outage && p.okAt <= since && p.allFailed(kFailuresToAvoid)) outageBegins(p, p.told);
     }
   }
 }
@@ -665,6 +666,7 @@
     Callback* c = s_.find(id);
     if (c == nullptr || !terms_.mayWithdraw || !c->launches[n].out) continue;
     c->launches[n].withdrawn = true;
+    if (!c->launches[n].copy) c->launches[n].endpoint->calledOff(c->launches[n].sent);
     return Decision{Act::withdraw, id, {}, n, 0};
   }
   return std::nullopt;
@@ -687,7 +689,7 @@
     for (std::size_t n = 0; n < c.launches.size(); ++n) {
       Launch& l = c.launches[n];
       if (!l.out || l.withdrawn) continue;
-      Path& p = *l.endpoint->path;
+      const Path& p = *l.endpoint->path;
       Millis p95 = usual(p, type(c)).p95;
       Millis stuck = l.sent + (kStuckLost + (kStuck - kStuckLost) * s_.patience) * p95;
       reached(stuck);
@@ -695,7 +697,7 @@
       bool lost = repeat || s_.now - l.sent > (p.outage || l.endpoint->silent ? kStuck : 2 * kStuck) * p95;
       if (s_.now < stuck || !(overtaken || (wanted && lost))) continue;
       l.withdrawn = true;
-      if (p.calledOff <= p.okAt) p.calledOff = l.sent;
+      l.endpoint->calledOff(l.sent);
       s_.patience *= 1 - kPatienceCut;
       seen_.stuckFrom = id;  // another launch of it may be stuck too
       return Decision{Act::withdraw, id, {}, static_cast<int>(n), 0};
@@ -733,13 +735,10 @@
 void Rules::mostUrgent(const WaitLine& line, const TrafficType& t, Millis from, Visit visit) const {
   Millis step = kUrgencyStep * t.promised;
   Millis lateAgain = t.outer - t.promised;
-  visit(line.begin()->second);
-  for (Millis left : {0.0, lateAgain}) {
-    for (Millis limit : {from + left, from + step + left}) Waiting::around(line, limit, visit);
-  }
+  Waiting::beside(line, {from, from + step, from + lateAgain, from + step + lateAgain}, visit);
   if (terms_.decay != Decay::halving || t.lateShare <= 0) return;
   Millis floor = lateAgain + t.promised * std::log2(t.lateShare);  // from there on nothing more is lost
-  for (Millis limit : {from + floor, from + step + floor}) Waiting::around(line, limit, visit);
+  Waiting::beside(line, {from + floor, from + step + floor}, visit);
 }
 
 std::optional<Decision> Rules::launchDue() {
@@ -749,7 +748,9 @@
   auto consider = [&](CallbackId id, const Callback& c, Endpoint* to) {
     Millis latency = usual(*to->path, type(c)).p50;
     auto gainIn = [&](Millis late) { return gainAt(c, s_.now + latency + late); };
-    double lost = gainIn(0) - gainIn(kUrgencyStep * type(c).promised);      // by waiting
+    // By waiting; but a path that returns takes only some for long: there what it still brings counts whole.
+    bool scarce = to->path->cold || to->path->outage;
+    double lost = gainIn(0) - (scarce ? 0 : gainIn(kUrgencyStep * type(c).promised));
     auto place = std::tuple(lost / std::max(1.0, latency), -c.outerLimit);  // for a slot's time
     if (best && (place < bestPlace || (place == bestPlace && *best <= id))) return;
     best = id;
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -102,8 +102,9 @@
   }
   RC_ASSERT(waiting.empty() == plain.empty());
   if (plain.empty()) return;
-  std::vector<CallbackId> found, expected;
-  Waiting::around(waiting.lines().at(kind), asked % 16, [&](CallbackId id) { found.push_back(id); });
+  std::vector<CallbackId> found, expected{plain.begin()->second};
+  Waiting::beside(waiting.lines().at(kind), {Millis(asked % 16)},
+                  [&](CallbackId id) { found.push_back(id); });
   const std::pair<Millis, CallbackId>*after = nullptr, *before = nullptr;
   for (const auto& entry : plain) {
     if (entry.first >= asked % 16 && after == nullptr) after = &entry;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -663,6 +663,39 @@
   ::close(fd);
 }
 
+// Danger: held up, a dispatcher has more answers to read than one look at the kernel brings. What is decided
+// on half of them gives up callbacks that were delivered, or launches them again.
+TEST(Node, HeldUpItReadsAllAnswersBeforeItGivesAnyUp) {
+  constexpr int kMany = 600;
+  std::atomic<bool> go{false};
+  StandIn endpoint(
+      [&](auto&, auto&) {
+        within(8000, [&] { return go.load(); });
+        return kOk;
+      },
+      1024);
+  StandIn world(platform);
+  endpoint.start();
+  world.start();
+  std::string settings = kSettings;
+  settings.replace(settings.find("\"call-slots\":6"), 14, "\"call-slots\":2000");
+  settings.replace(settings.find("\"open-cap\":50"), 13, "\"open-cap\":2000");
+  Node node(settings, row(endpoint), world.address(), R"({"sockets":4096,"disk_mb":9})");
+  ASSERT_TRUE(node.start());
+  std::string all;
+  for (int n = 0; n < kMany; ++n) all += submit("c" + std::to_string(n), "c=order,d=4000,dest=7");
+  node.ask(all, kMany);
+  ASSERT_TRUE(within(3000, [&] { return endpoint.calls().size() == kMany; }));
+  ::kill(node.pid, SIGSTOP);
+  go = true;
+  std::this_thread::sleep_for(std::chrono::milliseconds(4200));
+  ::kill(node.pid, SIGCONT);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(node.end(SIGTERM), 0);
+  EXPECT_EQ(world.count("POST /reports"), 0u);
+  EXPECT_EQ(endpoint.calls().size(), static_cast<std::size_t>(kMany));
+}
+
 TEST(Node, ToldToEndItTakesClientsForAWhileFinishesAndLeavesInTime) {
   StandIn endpoint([](auto&, auto&) {
     std::this_thread::sleep_for(std::chrono::milliseconds(900));
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -448,6 +448,53 @@
   EXPECT_FALSE(bed.rules.state().paths.begin()->second.outage);
 }
 
+// Danger: with all slots out, launches are called off after a few p95 and sent again. None is ever out for as
+// long as silence takes to show, and endpoints that answer nothing are asked thousands of times a second.
+TEST(Returns, SilenceShowsThoughAllThatIsOutIsCalledOffAndSentAgain) {
+  for (bool one : {false, true}) {
+    Bed bed;
+    bed.warm(60);
+    EndpointId hung{};
+    std::map<EndpointId, int> late;
+    std::uint32_t id = 1;
+    for (int turn = 0; turn < 300; ++turn) {
+      for (int n = 0; n < 2; ++n) bed.take(id++);
+      bed.to(bed.now + 10);
+      std::vector<Decision> answered;
+      while (auto d = bed.rules.next()) {
+        if (d->act == Act::withdraw) bed.end(*d, Ending::withdrawn);
+        if (d->act != Act::launch) continue;
+        if (hung == EndpointId{}) hung = d->endpoint;
+        late[d->endpoint] += turn >= 200 ? 1 : 0;
+        if (one && d->endpoint != hung) answered.push_back(*d);
+      }
+      for (const Decision& d : answered) bed.end(d, Ending::completed, 5);
+    }
+    EXPECT_EQ(bed.rules.state().paths.begin()->second.outage, !one);
+    EXPECT_EQ(late[hung], 0);
+    EXPECT_EQ(late[endpoint(3 - hung.value)] > 50, one);
+  }
+}
+
+// Danger: a destination that returns cold takes few callbacks for a while; what is late already would take
+// their place, for little gain, until all that is fresh is late too.
+TEST(Returns, AColdPathTakesWhatStillBringsMost) {
+  Bed bed;
+  bed.warm(60);
+  bed.breakDown();
+  bed.take(2);
+  bed.to(bed.now + 6000);
+  bed.take(3);
+  for (const Decision& d : bed.pull(Act::probe)) bed.rules.probeEnded(d.endpoint, Ending::completed, 0);
+  std::vector<Decision> launches;
+  for (int n = 0; n < 50 && launches.empty(); ++n) {
+    bed.to(bed.now + 20);
+    launches = bed.pull(Act::launch);
+  }
+  ASSERT_FALSE(launches.empty());
+  EXPECT_EQ(launches[0].callback, CallbackId{3});
+}
+
 // Danger: after a refusal one call goes at a time, and calls that hang would keep all others back.
 TEST(Limits, CallsThatHangDoNotKeepAPathShutAfterARefusal) {
   Bed bed;
