Another endpoint's good probe ends for good the outage that one hung endpoint began

With the silence of one again enough, a destination with other good endpoints was in and out of an outage by turns: a probe was answered, and the launch that still hung took it out again in the same turn, since a probe did not count as something heard.

Change: one endpoint's silence takes a path out, as before; a probe answered by an endpoint that is not the silent one counts as heard, after the return was judged by the last completion.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -374,8 +374,9 @@
     p.told = true;
     s_.failing(at->second, at->second.failures + 1);
   } else {
-    at->second.works();
     if (p.outage) returned(p);
+    if (!at->second.silent) p.okAt = s_.now;  // one hung: what is out there tells no more of the path
+    at->second.works();
   }
 }
 
@@ -600,6 +601,7 @@
       Endpoint& e = *l.endpoint;
       Path& p = *e.path;
       Millis silence = silenceOf(c, p);
+      if (reached(l.sent + silence) && !p.outage && p.okAt <= l.sent) outageBegins(p, p.told);
       // One endpoint of several hangs: by a call that nothing overtook, or by several since the last answer.
       // Danger: with all slots out launches are called off before one is out for so long.
       Millis since = e.unheard >= kUnheard ? std::min(e.unheardSince, l.sent) : l.sent;
@@ -621,9 +623,8 @@
     CallbackId id = s_.spentFrom.begin()->second;
     s_.spentFrom.erase(s_.spentFrom.begin());
     const Callback* c = s_.find(id);
-    if (c == nullptr || c->over || !c->settled() || c->launches.empty() || repeatAllowed(*c, nullptr))
-      continue;
-    return Decision{Act::giveUp, over(id), {}, 0, 0};
+    bool rests = c != nullptr && !c->over && c->settled() && !c->launches.empty();
+    if (rests && !repeatAllowed(*c, nullptr)) return Decision{Act::giveUp, over(id), {}, 0, 0};
   }
   return std::nullopt;
 }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -476,6 +476,38 @@
   }
 }
 
+// Danger: the first in rank hangs, nobody else was asked yet, and the path is taken for out. Another endpoint
+// answers a probe, and the launches that still hang at the first take the path out again at once.
+TEST(Returns, AnotherEndpointsProbeEndsAnOutageThatOneHungEndpointBegan) {
+  Bed bed(plainTerms(Effect::effectful));  // no copies
+  bed.warm(60);
+  const Path& path = bed.rules.state().paths.begin()->second;
+  bed.take(1);
+  EndpointId hung = bed.pull(Act::launch).at(0).endpoint;
+  while (!path.outage) {
+    bed.to(bed.now + 50);
+    bed.pull(Act::launch);
+    ASSERT_LT(bed.now, 20000);
+  }
+  bool good = false;
+  for (int n = 0; n < 400 && !good; ++n) {
+    for (const Decision& d : bed.pull(Act::probe)) {
+      good = good || d.endpoint != hung;
+      bed.rules.probeEnded(d.endpoint, d.endpoint == hung ? Ending::timeout : Ending::completed, 0);
+    }
+    bed.to(bed.now + 20);
+  }
+  ASSERT_TRUE(good);
+  for (std::uint32_t id = 2; id < 40; ++id) {
+    bed.take(id);
+    for (const Decision& d : bed.pull(Act::launch)) {
+      if (d.endpoint != hung) bed.end(d, Ending::completed);
+    }
+    EXPECT_FALSE(path.outage);
+    bed.to(bed.now + 50);
+  }
+}
+
 // Danger: a destination that returns cold takes few callbacks for a while; what is late already would take
 // their place, for little gain, until all that is fresh is late too.
 TEST(Returns, AColdPathTakesWhatStillBringsMost) {
