--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t kWordMost = 128;
 constexpr std::size_t kReserve = 1024;     // of the journal for what a callback held may still add to it
 constexpr std::size_t kOwedReserve = 256;  // and for an end that is owed
+// A rewrite goes on in every commit by a part that takes well under a millisecond.
+constexpr std::size_t kRewriteAtOnce = 64 * 1024;
+constexpr int kPassedOver = 64;
+constexpr std::size_t kWorthRewriting = 16;  // a part of the file's most that may be won by it
 
 // Ids go into headers, lines and JSON as they are: visible characters alone, none that ends a word there.
 std::string word(std::string_view text, const char* field) {
@@ -204,29 +208,110 @@
 
 std::size_t Book::liveBytes() const { return heldBytes_ + owed_.size() * kOwedReserve; }
 
-std::string Book::live() const {
+// The records of all that is held or owed from rewritten_ on, by id, until there are `most` bytes of them.
+void Book::rewriteSome(std::size_t most) {
   std::string bytes;
-  for (const auto& [id, held] : held_) {
-    bytes += Journal::framed(takenRecord(id, held));
-    for (const LaunchNote& launch : held.launches) bytes += Journal::framed(launchRecord(id, launch));
+  auto held = held_.lower_bound(rewritten_);
+  auto owed = owed_.lower_bound(rewritten_);
+  auto put = [&](const std::string& record) { bytes += Journal::framed(record); };
+  while (bytes.size() < most && (held != held_.end() || owed != owed_.end())) {
+    if (owed == owed_.end() || (held != held_.end() && held->first < owed->first)) {
+      put(takenRecord(held->first, held->second));
+      for (const LaunchNote& launch : held->second.launches) {
+        if (launch.noted) put(launchRecord(held->first, launch));
+      }
+      rewritten_ = CallbackId{held->first.value + 1};
+      ++held;
+    } else {
+      put(owedRecord(owed->first, owed->second));
+      rewritten_ = CallbackId{owed->first.value + 1};
+      ++owed;
+    }
+  }
+  bool good = journal_.addBeside(bytes);
+  if (good && held == held_.end() && owed == owed_.end()) good = journal_.takeBeside();
+  if (good) return;
+  notAgain_ = journal_.size() + journal_.most() / kWorthRewriting;
+  log::error("journal.not_rewritten", {{"bytes", journal_.size()}});
+}
+
+// Before the room runs out, and where it wins something.
+bool Book::rewriteWanted() const {
+  std::size_t size = journal_.size();
+  std::size_t part = journal_.most() / kWorthRewriting;
+  return size >= notAgain_ && size + 2 * liveBytes() + 2 * part > journal_.most() &&
+         size > liveBytes() + part;
+}
+
+// All at once, since there is no room to wait.
+void Book::rewriteNow() {
+  if (passedOver_ > 0 && --passedOver_ > 0) return;
+  flushNoted();
+  if (!journal_.besideOpen()) {
+    rewritten_ = {};
+    journal_.beginBeside();
   }
-  for (const auto& [id, notice] : owed_) bytes += Journal::framed(owedRecord(id, notice));
-  return bytes;
+  std::size_t before = journal_.size();
+  while (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
+  // Danger: a folder that is full would have all that is held read through for each record.
+  if (journal_.size() >= before) passedOver_ = kPassedOver;
 }
 
 // There is always room left for a rewrite beside the file, and for what is held to end.
 bool Book::roomFor(std::size_t more) {
-  if (journal_.size() + more + liveBytes() <= journal_.most()) return true;
-  if (!journal_.rewrite(live())) {
-    log::error("journal.not_rewritten", {{"bytes", journal_.size()}});
-    return false;
-  }
-  return journal_.size() + more + liveBytes() <= journal_.most();
+  auto room = [&] { return journal_.size() + journal_.besideSize() + more + liveBytes() <= journal_.most(); };
+  if (!room()) rewriteNow();
+  return room();
+}
+
+bool Book::keep(std::string record, Noted noted) {
+  if (!journal_.append(record)) return false;
+  if (journal_.besideOpen()) noted.record = std::move(record);
+  noted_.push_back(std::move(noted));
+  return true;
 }
 
-bool Book::note(const std::string& record) {
+bool Book::note(std::string record, Noted noted) {
   roomFor(record.size() + Journal::kFrame);
-  return journal_.append(record);
+  return keep(std::move(record), std::move(noted));
+}
+
+void Book::flushNoted() {
+  if (noted_.empty()) return;
+  std::vector<Noted> noted = std::exchange(noted_, {});
+  std::vector<std::size_t> lost = journal_.commit();
+  for (std::size_t n : lost) {
+    const Noted& one = noted[n];
+    if (one.tag == Tag::taken) {
+      lostTakes_.insert(one.callback);
+      drop(one.callback);
+      --over_;  // it never was taken on
+    } else if (one.tag == Tag::launched) {
+      lostLaunches_.insert({one.callback, one.launch});
+      if (Held* held = find(one.callback)) {
+        LaunchNote& launch = held->launches[static_cast<std::size_t>(one.launch)];
+        launch.neverRan = true;
+        launch.noted = false;
+      }
+    }
+  }
+  if (!lost.empty()) log::error("journal.not_written", {{"records", lost.size()}});
+  if (!journal_.besideOpen()) return;
+  // What the rewrite has passed hears of it too; the rest it will find as it then is.
+  std::string bytes;
+  for (const Noted& one : noted) {
+    if (one.callback < rewritten_ && !one.record.empty()) bytes += Journal::framed(one.record);
+  }
+  if (!bytes.empty() && !journal_.addBeside(bytes)) notAgain_ = journal_.size();
+}
+
+void Book::commit() {
+  flushNoted();
+  if (!journal_.besideOpen() && rewriteWanted()) {
+    rewritten_ = {};
+    journal_.beginBeside();
+  }
+  if (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
 }
 
 std::optional<CallbackId> Book::take(Held held) {
@@ -235,7 +320,7 @@
   std::size_t bytes = record.size() + kReserve;
   // Room for the record and, beyond it, for one more of its like in every later rewrite.
   if (2 * (liveBytes() + bytes) > journal_.most() || !roomFor(record.size() + Journal::kFrame + bytes) ||
-      !journal_.append(record)) {
+      !keep(std::move(record), {Tag::taken, id, 0, {}})) {
     return std::nullopt;
   }
   ++next_;
@@ -248,9 +333,15 @@
 bool Book::launched(CallbackId id, const EndpointNote& endpoint, Millis wall) {
   Held* held = find(id);
   if (held == nullptr) return false;
-  held->launches.push_back({endpoint, wall, false});
-  if (note(launchRecord(id, held->launches.back()))) return true;
+  LaunchNote sent{endpoint, wall, false};
+  std::string record = launchRecord(id, sent);
+  roomFor(record.size() +
+          Journal::kFrame);  // first: a rewrite must not find the launch, which comes after it
+  held->launches.push_back(std::move(sent));
+  int launch = static_cast<int>(held->launches.size()) - 1;
+  if (keep(std::move(record), {Tag::launched, id, launch, {}})) return true;
   held->launches.back().neverRan = true;  // it keeps its number, as the module counts it
+  held->launches.back().noted = false;
   return false;
 }
 
@@ -259,9 +350,15 @@
   auto n = static_cast<std::uint32_t>(launch);
   if (held == nullptr || n >= held->launches.size()) return;
   held->launches[n].neverRan = true;
+  if (!held->launches[n].noted) return;
+  // Danger: the journal counts launches by its own records. Counted by ours, one that it never took would
+  // have another one, which may have run, pass for one that did not.
   std::string record = recordOf(Tag::neverRan, id);
-  putBytes(record, n);
-  note(record);  // unwritten, it may have run for the next process: the safe side
+  auto first = held->launches.begin();
+  putBytes(record, static_cast<std::uint32_t>(
+                       std::count_if(first, first + launch, [](const LaunchNote& l) { return l.noted; })));
+  note(std::move(record),
+       {Tag::neverRan, id, launch, {}});  // unwritten, it may have run for the next process
 }
 
 void Book::drop(CallbackId id) {
@@ -275,7 +372,7 @@
 
 void Book::completed(CallbackId id) {
   if (find(id) == nullptr) return;
-  note(recordOf(Tag::over, id));
+  note(recordOf(Tag::over, id), {Tag::over, id, 0, {}});
   drop(id);
 }
 
@@ -283,13 +380,13 @@
   Held* held = find(id);
   if (held == nullptr) return;
   Notice notice{held->ref, result, wait};
-  note(owedRecord(id, notice));
+  note(owedRecord(id, notice), {Tag::owed, id, 0, {}});
   drop(id);
   owed_[id] = std::move(notice);
 }
 
 void Book::confirmed(CallbackId id) {
-  if (owed_.erase(id) > 0) note(recordOf(Tag::over, id));
+  if (owed_.erase(id) > 0) note(recordOf(Tag::over, id), {Tag::over, id, 0, {}});
 }
 
 }  // namespace stonewing::net
--- a/src/net/book.h
+++ b/src/net/book.h
@@ -4,9 +4,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/facts.h"
@@ -27,6 +29,8 @@
   EndpointNote endpoint;
   Millis sentWall{};
   bool neverRan{false};
+  bool noted{
+      true};  // false: the journal would not take it, so that it was never sent and does not count there
 };
 
 // A callback that is held, with what the module does not need to know of it.
@@ -52,8 +56,9 @@
   Millis wait{};
 };
 
-// All that was taken on and is not over, in memory and in the journal. Each change is written before it is
-// acted on, so that a kill at any moment loses nothing that a client or the platform was promised.
+// All that was taken on and is not over, in memory and in the journal. What changes in a turn is written by
+// one commit, before it is acted on: before a client hears +OK, a launch's bytes go out or the platform is
+// told. So a kill at any moment loses nothing that a client or the platform was promised.
 class Book {
  public:
   Book(const HostFacts& facts, const std::string& folder, std::size_t mostBytes);
@@ -64,10 +69,23 @@
   // The fields of a SUBMIT: order key, id, list, body. Throws Malformed with the reason.
   Held decode(std::string_view key, std::string_view ref, std::string_view list, std::string_view body,
               Millis wall) const;
-  // No value: there is no room in the journal.
+  // No value: there is no room in the journal. It is taken on once a commit has kept it.
   std::optional<CallbackId> take(Held held);
+  // Writes what was noted since the last commit, and goes on with a rewrite of the journal where one is due.
+  // Calls and clients then ask what was kept. What the file would not take: a callback is dropped again, a
+  // launch counts as never sent, an end is still acted on.
+  void commit();
+  // What the file would not take since it was last forgotten.
+  void forgetLost() {
+    lostTakes_.clear();
+    lostLaunches_.clear();
+  }
+  bool lostTake(CallbackId id) const { return lostTakes_.contains(id); }
+  const std::set<CallbackId>& lostTakes() const { return lostTakes_; }
+  bool lostLaunch(CallbackId id, int launch) const { return lostLaunches_.contains({id, launch}); }
   bool holds(std::string_view ref) const { return byRef_.contains(std::string(ref)); }
-  // False: it could not be noted, and the launch must not go out.
+  CallbackId idOf(const std::string& ref) const { return byRef_.at(ref); }  // of one that is held
+  // False: it could not be noted, and the launch must not go out. True: the next commit will tell.
   bool launched(CallbackId id, const EndpointNote& endpoint, Millis wall);
   void neverRan(CallbackId id, int launch);
   // Over, and nothing more is owed.
@@ -94,10 +112,20 @@
  private:
   enum class Tag : std::uint8_t { taken = 1, launched = 2, neverRan = 3, owed = 4, over = 5 };
   void replayed(std::string_view record);
-  bool note(const std::string& record);
+  struct Noted {
+    Tag tag{};
+    CallbackId callback{};
+    int launch{};
+    std::string record{};  // only while a rewrite is under way, which it may have to reach too
+  };
+  bool note(std::string record, Noted noted);
+  bool keep(std::string record, Noted noted);
   bool roomFor(std::size_t more);
+  void flushNoted();
+  void rewriteSome(std::size_t most);
+  void rewriteNow();
+  bool rewriteWanted() const;
   std::size_t liveBytes() const;
-  std::string live() const;
   static std::size_t takenSize(const Held& held);  // of its record
   static std::string takenRecord(CallbackId id, const Held& held);
   static std::string launchRecord(CallbackId id, const LaunchNote& launch);
@@ -112,6 +140,13 @@
   std::map<CallbackId, Held> held_;
   std::map<CallbackId, Notice> owed_;
   std::unordered_map<std::string, CallbackId> byRef_;
+  std::vector<Noted> noted_;  // beside what the journal holds for its next commit
+  std::set<CallbackId> lostTakes_;
+  std::set<std::pair<CallbackId, int>> lostLaunches_;
+  // Of a rewrite that is under way: all before this id stands in the new file as it is now.
+  CallbackId rewritten_{};
+  std::size_t notAgain_{0};  // no rewrite before the file has this size, after one that did not go
+  int passedOver_{0};        // so many more times that there is no room, for the same reason
 };
 
 }  // namespace stonewing::net
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -79,9 +79,19 @@
     for (const Member& m : line.members) {
       if (!book_.launched(m.callback, catalog_.find(endpoint)->note, wallNow())) line.failed = true;
     }
-    if (!line.failed) write(line);
     for (const Member& m : line.members) carries_[{m.callback, m.launch}] = &line;
-    settle(line);
+    noted_.push_back(&line);
+  }
+}
+
+// Nothing may come between flush and this but the book's commit.
+void Calls::send() {
+  for (Line* line : std::exchange(noted_, {})) {
+    for (const Member& m : line->members) {
+      if (book_.find(m.callback) == nullptr || book_.lostLaunch(m.callback, m.launch)) line->failed = true;
+    }
+    if (!line->failed) write(*line);
+    settle(*line);
   }
 }
 
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -24,12 +24,14 @@
   Calls(Loop& loop, Rules& rules, Book& book, const Catalog& catalog, const DeploymentTerms& terms,
         const HostFacts& facts, std::size_t mostLinks);
 
-  // Launches of one pass that belong to one call go out together, with flush.
+  // Launches of one pass that belong to one call go out together: noted with flush, sent once the book has
+  // kept them.
   void launch(const Decision& decision);
   void withdraw(const Decision& decision);
   void probe(EndpointId endpoint);
   void closeIdle(EndpointId endpoint);
   void flush();
+  void send();
 
   void tick();  // time-outs, and connections that never come up
   Millis due() const;
@@ -94,6 +96,7 @@
   std::map<std::pair<CallbackId, int>, Line*> carries_;   // the line of a launch that was not told yet
   Millis idleMostSeen_{1e15};
   std::map<int, std::pair<EndpointId, std::vector<Member>>> gathered_;  // by the number of the call
+  std::vector<Line*> noted_;                                            // to be sent
 };
 
 }  // namespace stonewing::net
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -231,19 +231,19 @@
     if (!owner_.mayBegin(*this)) return;
   }
   if (!out_.empty()) write();
-  if (fd_ >= 0) read();
+  if (fd_ >= 0) read((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
 }
 
 void HttpLink::write() {
   // A server may answer, or end, before it has read all: what it said is read before the link is given up.
   if (out_.write(fd_) == Outgoing::Wrote::broken) {
-    read();
+    read(true);
     if (fd_ >= 0 && busy_) fail();
   }
 }
 
-void HttpLink::read() {
-  Got got = readInto(fd_, in_, most_);
+void HttpLink::read(bool mayHaveEnded) {
+  Got got = readInto(fd_, in_, most_, mayHaveEnded);
   if (!busy_) {  // an idle connection that ends or talks is of no use
     if (got != Got::drained || !in_.empty()) fail();
     return;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -68,7 +68,7 @@
   void close();
   // Takes what has come and was not handed out yet. Its owner may hear of the end by it, and release it.
   void catchUp() {
-    if (fd_ >= 0 && up_ && busy_) read();
+    if (fd_ >= 0 && up_ && busy_) read(true);
   }
   // Nothing is lost on it yet: no end and no stray byte has come while it stood idle.
   bool stillGood() const;
@@ -87,7 +87,7 @@
 
  private:
   void write();
-  void read();
+  void read(bool mayHaveEnded);
   void fail();
 
   Loop& loop_;
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -81,21 +81,20 @@
 
   bool watch() { return intake_.loop_.watch(fd_, *this); }
 
-  void ready(std::uint32_t) override {
-    serve();
+  void ready(std::uint32_t events) override {
+    serve((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
     if (!gone_) intake_.settle(*this);
   }
-  void serve() {
+  void serve(bool mayHaveEnded) {
     write();
     while (!gone_ && !closing_ && out_.size() <= kUnsentMost) {
       if (in_.empty()) usedAt = intake_.loop_.now();  // a command begins, if anything came
-      Got got = readInto(fd_, in_, kCommandMost);
+      Got got = readInto(fd_, in_, kCommandMost, mayHaveEnded);
       if (got == Got::broken) return finish();
-      commands(got == Got::ended);
-      write();
-      if (gone_) return;
-      if (got == Got::ended && out_.empty()) return finish();
-      if (got == Got::ended) end();
+      left_ = got == Got::ended;
+      commands(left_);
+      if (left_ && !owes()) return finish();
+      if (left_) end();
       if (got == Got::drained) break;
       if (got == Got::more) {  // others have their turn first
         intake_.loop_.again(fd_);
@@ -114,8 +113,8 @@
   bool goesFirst(Millis now) const { return handedIn_ || (!spoken_ && idleFor(now) >= kFresh); }
   std::size_t holds() const { return counted_; }
   // Between commands: nothing is read that is not answered, and no answer is left to write.
-  bool between() const { return in_.empty() && out_.empty() && !closing_; }
-  bool lingers() const { return closing_ && out_.empty(); }
+  bool between() const { return in_.empty() && !owes() && !closing_; }
+  bool lingers() const { return closing_ && !owes(); }
   bool mayClose() const { return between() || lingers(); }
   void leave() {
     if (between()) finish();
@@ -129,7 +128,18 @@
     refuse("-ERR half a command and no more\r\n");
     in_ = {};
     count();
+    intake_.settle(*this);
+  }
+  // What it was answered in this turn goes out.
+  void send(const Instead& instead) {
+    for (Answered& a : std::exchange(answers_, {})) {
+      auto other = a.ifKept ? instead(*a.ifKept) : std::nullopt;
+      out_.add(other ? std::move(*other) : std::move(a.text));
+    }
     write();
+    if (gone_) return;
+    if (left_ && out_.empty()) return finish();
+    if (intake_.leaving_) leave();
     if (!gone_) intake_.settle(*this);
   }
   void finish() {
@@ -152,6 +162,11 @@
     intake_.bytes_ += in_.size() - counted_;
     counted_ = in_.size();
   }
+  bool owes() const { return !out_.empty() || !answers_.empty(); }
+  void answer(Answered answer) {
+    if (answers_.empty()) intake_.answering_.push_back(this);
+    answers_.push_back(std::move(answer));
+  }
   void commands(bool left) {
     std::size_t at = 0;
     while (!closing_) {
@@ -165,7 +180,7 @@
       }
       usedAt = intake_.loop_.now();
       try {
-        out_.add(intake_.answer_(words_, left));
+        answer(intake_.answer_(words_, left));
         spoken_ = true;
         handedIn_ = handedIn_ || words_.size() > 1;
       } catch (const Malformed& problem) {
@@ -180,7 +195,7 @@
     }
   }
   void refuse(std::string error) {
-    out_.add(std::move(error));
+    answer({std::move(error), std::nullopt});
     end();
   }
   void end() {
@@ -191,7 +206,7 @@
     if (gone_ || out_.empty()) return;
     Outgoing::Wrote wrote = out_.write(fd_);
     if (wrote == Outgoing::Wrote::broken) finish();
-    if (wrote == Outgoing::Wrote::all && closing_) ::shutdown(fd_, SHUT_WR);
+    if (wrote == Outgoing::Wrote::all && closing_ && answers_.empty()) ::shutdown(fd_, SHUT_WR);
   }
   // An error stands at the end of what we say. What still comes is read and dropped for a while: closing on
   // unread bytes would reset the connection, and the error with it.
@@ -199,7 +214,8 @@
     std::string dropped;
     Got got = readInto(fd_, dropped, kCommandMost);
     dropped_ += dropped.size();
-    if (got == Got::broken || (got == Got::ended && out_.empty())) return finish();
+    if (got == Got::broken || (got == Got::ended && !owes())) return finish();
+    left_ = left_ || got == Got::ended;
     if (dropped_ > kDroppedMost) return finish();  // it goes on regardless, and each byte costs us time
     if (got == Got::more) intake_.loop_.again(fd_);
   }
@@ -208,12 +224,14 @@
   int fd_;
   std::string in_;
   Outgoing out_;
+  std::vector<Answered> answers_;  // of this turn
   std::vector<std::string_view> words_;
   std::size_t counted_{0};
   std::size_t dropped_{0};
   bool spoken_{false};
   bool handedIn_{false};  // a callback, that was not refused as unreadable
   bool closing_{false};
+  bool left_{false};  // it has ended its side
   bool gone_{false};
 
  public:
@@ -252,7 +270,14 @@
   for (auto at = clients_.begin(); at != clients_.end();) (*at++)->leave();
 }
 
+void Intake::send(const Instead& instead) {
+  for (Client* client : std::exchange(answering_, {})) {
+    if (client != nullptr) client->send(instead);
+  }
+}
+
 void Intake::gone(Client& client) {
+  std::replace(answering_.begin(), answering_.end(), &client, static_cast<Client*>(nullptr));
   patience_.erase({client.settled, &client});
   auto at = client.self;
   loop_.bury(std::move(*at));
@@ -308,7 +333,7 @@
     if (!client->watch()) continue;
     clients_.push_back(std::move(client));
     clients_.back()->self = std::prev(clients_.end());
-    clients_.back()->ready(EPOLLIN);  // in this turn, as it may have waited for us with what it sent
+    clients_.back()->ready(EPOLLIN | EPOLLRDHUP);  // in this turn: it may have sent, and ended, long ago
   }
 }
 
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -3,7 +3,9 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -18,12 +20,19 @@
 
 inline constexpr std::size_t kBodyMost = 64 * 1024;
 
-// The clients' side: takes connections, reads commands, answers each at once and in order.
+// The clients' side: takes connections, reads commands, answers each in order, once a turn.
 class Intake : Source {
  public:
+  // An answer that holds only if its callback is kept.
+  struct Answered {
+    std::string text;
+    std::optional<CallbackId> ifKept{};
+  };
   // Answers one command. Throws Malformed for one that is answered by an error and a close. left: its client
   // has ended its side of the connection.
-  using Answer = std::function<std::string(const std::vector<std::string_view>& words, bool left)>;
+  using Answer = std::function<Answered(const std::vector<std::string_view>& words, bool left)>;
+  // In place of the answer of a callback that was not kept; no value where it was.
+  using Instead = std::function<std::optional<std::string>(CallbackId)>;
 
   // mostBytes: of commands that have come in part, from all clients together.
   Intake(Loop& loop, std::size_t mostClients, std::size_t mostBytes, Answer answer);
@@ -33,6 +42,9 @@
   void stopListening();
   // Closes each client that stands between commands; the rest as soon as they do.
   void leave();
+  // Sends what was answered since the last time.
+  void send(const Instead& instead);
+  std::size_t waiting() const { return answering_.size(); }  // clients whose answers were not sent yet
   std::size_t clients() const { return clients_.size(); }
   void tick();
   Millis due() const;
@@ -55,6 +67,7 @@
   bool leaving_{false};
   Millis acceptAgain_{-1};  // after a lack of descriptors
   std::list<std::unique_ptr<Client>> clients_;
+  std::vector<Client*> answering_;
   std::set<std::pair<Millis, Client*>> patience_;  // by when each is to be looked at
 };
 
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <chrono>
 #include <system_error>
+#include <utility>
 
 #include "core/bytes.h"
 
@@ -58,7 +59,10 @@
   if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "cannot open " + path_);
 }
 
-Journal::~Journal() { ::close(fd_); }
+Journal::~Journal() {
+  dropBeside();
+  ::close(fd_);
+}
 
 std::uint32_t Journal::sumOf(Version version, std::string_view bytes) {
   if (version == Version::first) return crc32(bytes);
@@ -98,16 +102,18 @@
   return bytes.size() - at;
 }
 
-std::string Journal::framed(std::string_view record) { return framedAs(Version::second, record); }
-
-std::string Journal::framedAs(Version version, std::string_view record) {
+std::string Journal::framed(std::string_view record) {
   std::string bytes;
-  putBytes(bytes, static_cast<std::uint32_t>(record.size()));
-  putBytes(bytes, sumOf(version, record));
-  bytes.append(record);
+  frame(bytes, Version::second, record);
   return bytes;
 }
 
+void Journal::frame(std::string& to, Version version, std::string_view record) {
+  putBytes(to, static_cast<std::uint32_t>(record.size()));
+  putBytes(to, sumOf(version, record));
+  to.append(record);
+}
+
 bool Journal::writeAll(int fd, std::string_view bytes) {
   while (!bytes.empty()) {
     auto began = std::chrono::steady_clock::now();
@@ -121,35 +127,80 @@
 }
 
 bool Journal::append(std::string_view record) {
-  std::string bytes = framedAs(version_, record);
-  if (size_ == 0) bytes.insert(0, headOf());
-  if (size_ + bytes.size() > most_) return false;
-  if (!writeAll(fd_, bytes)) {
-    // Half a record would hide all later ones from the next start.
-    if (::ftruncate(fd_, static_cast<off_t>(size_)) != 0) {
-      throw std::system_error(errno, std::generic_category(), "cannot take back a record half written");
+  bool first = size() == 0;
+  std::size_t after = size() + (first ? kHead : 0) + kFrame + record.size();
+  if (after > most_) return false;
+  if (after + besideSize_ > most_) dropBeside();  // what is owed comes before what saves room later
+  if (first) buffer_ = headOf();
+  frame(buffer_, version_, record);
+  ends_.push_back(buffer_.size());
+  return true;
+}
+
+// Half a record would hide all later ones from the next start.
+bool Journal::writeWhole(std::string_view bytes) {
+  if (writeAll(fd_, bytes)) {
+    size_ += bytes.size();
+    return true;
+  }
+  if (::ftruncate(fd_, static_cast<off_t>(size_)) != 0) {
+    throw std::system_error(errno, std::generic_category(), "cannot take back a record half written");
+  }
+  return false;
+}
+
+std::vector<std::size_t> Journal::commit() {
+  std::vector<std::size_t> lost;
+  if (ends_.empty()) return lost;
+  std::string bytes = std::exchange(buffer_, {});
+  std::vector<std::size_t> ends = std::exchange(ends_, {});
+  if (!writeWhole(bytes)) {
+    // Together they had no room. One by one some may: an end is short, and makes room for others.
+    std::size_t from = 0;
+    for (std::size_t n = 0; n < ends.size(); ++n) {
+      std::string_view one = std::string_view(bytes).substr(from, ends[n] - from);
+      from = ends[n];
+      // The head stands before the first record, whichever that is.
+      bool headless = size_ == 0 && n > 0;
+      if (!writeWhole(headless ? headOf() + std::string(one) : std::string(one))) lost.push_back(n);
     }
-    return false;
   }
-  size_ += bytes.size();
-  return true;
+  buffer_ = std::move(bytes);  // its room is of use again
+  buffer_.clear();
+  return lost;
+}
+
+bool Journal::beginBeside() {
+  dropBeside();
+  beside_ = ::open((path_ + ".new").c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+  return beside_ >= 0 && addBeside(headOf());
 }
 
-bool Journal::rewrite(std::string_view live) {
-  if (size_ + kHead + live.size() > most_) return false;
-  const std::string beside = path_ + ".new";
-  int fd = ::open(beside.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
-  if (fd < 0) return false;
-  if (!writeAll(fd, headOf()) || !writeAll(fd, live) || ::rename(beside.c_str(), path_.c_str()) != 0) {
-    ::close(fd);
-    ::unlink(beside.c_str());
+bool Journal::addBeside(std::string_view framed) {
+  if (beside_ >= 0 && size() + besideSize_ + framed.size() <= most_ && writeAll(beside_, framed)) {
+    besideSize_ += framed.size();
+    return true;
+  }
+  dropBeside();
+  return false;
+}
+
+bool Journal::takeBeside() {
+  if (beside_ < 0 || !ends_.empty() || ::rename((path_ + ".new").c_str(), path_.c_str()) != 0) {
+    dropBeside();
     return false;
   }
-  ::close(fd_);
-  fd_ = fd;
-  size_ = kHead + live.size();
+  ::close(std::exchange(fd_, std::exchange(beside_, -1)));
+  size_ = std::exchange(besideSize_, 0);
   version_ = Version::second;
   return true;
 }
 
+void Journal::dropBeside() {
+  if (beside_ < 0) return;
+  ::close(std::exchange(beside_, -1));
+  ::unlink((path_ + ".new").c_str());
+  besideSize_ = 0;
+}
+
 }  // namespace stonewing::net
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace stonewing::net {
 
@@ -21,14 +22,26 @@
 
   // Reads all records; a torn tail is cut off. Returns the bytes cut.
   std::size_t replay(const std::function<void(std::string_view)>& record);
-  // False: it could not be written, and the file is as it was.
+  // Notes a record, to be written by the next commit. False: it has no room, and is not noted.
   bool append(std::string_view record);
-  // Puts the records of `live` (see framed) in place of all; a kill at any step leaves the old or the new.
-  bool rewrite(std::string_view live);
+  std::size_t noted() const { return ends_.size(); }
+  // Writes all that is noted in one go. Returns the places, in the order of append, of those that could not
+  // be written; the file holds the others, whole and in order.
+  std::vector<std::size_t> commit();
+
+  // A rewrite beside the file, in as many steps as its owner likes; what is committed meanwhile goes to the
+  // file as ever. A kill at any step leaves the old or the new. Each returns false where it could not be
+  // done; the rewrite is then given up and the file is as it was.
+  bool beginBeside();
+  bool addBeside(std::string_view framed);
+  bool takeBeside();  // in place of the file; nothing may be noted that was not committed
+  void dropBeside();
+  bool besideOpen() const { return beside_ >= 0; }
+  std::size_t besideSize() const { return besideSize_; }
 
   // Milliseconds spent in writing so far: a slow folder holds its process up, and no processor time shows it.
   double writing() const { return writing_; }
-  std::size_t size() const { return size_; }
+  std::size_t size() const { return size_ + buffer_.size(); }
   std::size_t most() const { return most_; }
   static std::string framed(std::string_view record);  // in the version that is written now
   static constexpr std::size_t kFrame = 8;
@@ -37,13 +50,18 @@
  private:
   enum class Version : std::uint8_t { first = 1, second = 2 };
   static std::uint32_t sumOf(Version version, std::string_view bytes);
-  static std::string framedAs(Version version, std::string_view record);
+  static void frame(std::string& to, Version version, std::string_view record);
+  bool writeWhole(std::string_view bytes);
   bool writeAll(int fd, std::string_view bytes);
 
   std::string path_;
   std::size_t most_;
   int fd_{-1};
-  std::size_t size_{0};
+  std::size_t size_{0};            // of what is written
+  std::string buffer_;             // noted and not written, whole frames
+  std::vector<std::size_t> ends_;  // of each in the buffer
+  int beside_{-1};
+  std::size_t besideSize_{0};
   double writing_{0};
   Version version_{Version::second};
 };
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -78,7 +78,7 @@
 }
 
 void Loop::dispatch() {
-  for (std::uint64_t tag : std::exchange(again_, {})) handOut(tag, EPOLLIN | EPOLLOUT);
+  for (std::uint64_t tag : std::exchange(again_, {})) handOut(tag, EPOLLIN | EPOLLOUT | EPOLLRDHUP);
   for (auto [tag, events] : std::exchange(events_, {})) handOut(tag, events);
 }
 
@@ -104,16 +104,19 @@
   return address;
 }
 
-Got readInto(int fd, std::string& into, std::size_t most) {
+Got readInto(int fd, std::string& into, std::size_t most, bool mayHaveEnded) {
   std::size_t part = 0;
   while (part < kTurnPart && into.size() < most) {
     // Read beside it first: whoever sends a few bytes must not cost a chunk each.
     std::array<char, kChunk> chunk;
-    ssize_t n = ::recv(fd, chunk.data(), std::min(kChunk, most - into.size()), 0);
+    std::size_t asked = std::min(kChunk, most - into.size());
+    ssize_t n = ::recv(fd, chunk.data(), asked, 0);
     int error = errno;
     if (n > 0) {
       into.append(chunk.data(), static_cast<std::size_t>(n));
       part += static_cast<std::size_t>(n);
+      // Whatever comes after this read, an end too, is an event of its own.
+      if (!mayHaveEnded && static_cast<std::size_t>(n) < asked) return Got::drained;
     } else if (n == 0) {
       return Got::ended;
     } else if (error == EAGAIN || error == EWOULDBLOCK) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -81,8 +81,9 @@
 
 enum class Got { drained, more, ended, broken };
 
-// Reads until there is no more, a turn's part is used, or `into` holds `most` bytes.
-Got readInto(int fd, std::string& into, std::size_t most);
+// Reads until there is no more, a turn's part is used, or `into` holds `most` bytes. mayHaveEnded: false
+// where the event that brought us here said nothing of an end; a read that is not full then was the last.
+Got readInto(int fd, std::string& into, std::size_t most, bool mayHaveEnded = true);
 
 // Bytes on their way out, written with gathered writes. Pieces may be shared with whoever made them.
 class Outgoing {
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -26,7 +26,8 @@
 constexpr Millis kAnswersFor = 3500;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 constexpr std::size_t kMemoryForHalves = 10;  // the part of it for commands that have come in part
-constexpr Millis kSlowTurn = 100;             // a quarter of what a client waits
+constexpr std::size_t kManyAnswers = 16;
+constexpr Millis kSlowTurn = 100;  // a quarter of what a client waits
 constexpr Millis kSlowTold = 5000;
 constexpr std::size_t kSocketsKept = 32;  // for the journal, discovery, the platform, the log and the loop
 
@@ -189,6 +190,7 @@
   restore();
   intake_.listen(needAddress(orders_.listen, "listen"));
   enter(State::serving);
+  Millis worked = ownWork();  // up to the last turn's end; sleep costs nothing
   while (state_ != State::ended) {
     loop_.wait(due());
     rules_.roundBegins(loop_.now());
@@ -197,7 +199,6 @@
       rules_.woken();
     }
     Millis began = steadyNow();
-    Millis worked = ownWork();
     loop_.dispatch();
     Millis dispatched = steadyNow();
     if (std::exchange(rereadWanted_, false)) takeNewOrders();
@@ -205,11 +206,15 @@
     catalog_.tick();
     intake_.tick();
     move();
+    // Many answers do not wait for the decisions; a few share one write of the journal with their launches.
+    if (intake_.waiting() >= kManyAnswers) keep();
     if (state_ < State::waiting) decide();
+    keep();
     Millis decided = steadyNow();
     notices_.tick();
     for (; overBefore_ < book_.overSoFar(); ++overBefore_) admission_.ended(loop_.now());
-    admission_.turnEnded(loop_.now(), ownWork() - worked);
+    Millis before = std::exchange(worked, ownWork());
+    admission_.turnEnded(loop_.now(), worked - before);
     tellSlow(dispatched - began, decided - dispatched, steadyNow() - began);
   }
 }
@@ -287,9 +292,9 @@
   return due;
 }
 
-std::string Dispatcher::answer(const std::vector<std::string_view>& words, bool left) {
+Intake::Answered Dispatcher::answer(const std::vector<std::string_view>& words, bool left) {
   if (words[0] == "PING")
-    return words.size() == 1 ? "+PONG\r\n" : throw Malformed("PING takes no more words");
+    return words.size() == 1 ? Intake::Answered{"+PONG\r\n"} : throw Malformed("PING takes no more words");
   if (words[0] == "SUBMIT") return submit(words, left);
   throw Malformed("unknown command");
 }
@@ -299,23 +304,24 @@
   return "-BUSY " + std::to_string(static_cast<std::int64_t>(std::ceil(wait))) + "\r\n";
 }
 
-std::string Dispatcher::submit(const std::vector<std::string_view>& words, bool left) {
+Intake::Answered Dispatcher::submit(const std::vector<std::string_view>& words, bool left) {
   if (words.size() != 5) throw Malformed("SUBMIT takes key, id, list and body");
   Millis wall = std::floor(wallNow());  // whole, so that equal spans stay equal
   Held held = book_.decode(words[1], words[2], words[3], words[4], wall);
-  if (book_.holds(held.ref)) return "+OK\r\n";  // handed in again, its first answer lost
+  if (book_.holds(held.ref))
+    return {"+OK\r\n", book_.idOf(held.ref)};  // handed in again, its first answer lost
   if (!catalog_.knows(held.destination)) {
     // Before discovery has said anything, ours may just be an old list.
-    if (!catalog_.heard()) return "-BUSY\r\n";
+    if (!catalog_.heard()) return {"-BUSY\r\n"};
     throw Malformed("unknown dest");
   }
   // Refused unseen, which is harmless: out of places, on the way out, or the client has not waited for us and
   // hands it in elsewhere; taken on too, it would be delivered for nothing.
-  if (left || state_ > State::leaving) return "-BUSY\r\n";
+  if (left || state_ > State::leaving) return {"-BUSY\r\n"};
   AdmissionFacts facts{loop_.now(), rules_.state().held, book_.full()};
   AdmissionCall call =
       admission_.asked(facts, terms_.types.at(held.type.value).gain, rules_.overShare(held.tenant));
-  if (!call.take) return busy(call.wait);
+  if (!call.take) return {busy(call.wait)};
   held.outerWall -= loop_.heldUp();  // its time counts from when the client sent it
   Millis outer = loop_.now() + (held.outerWall - wall);
   TrafficTypeId type = held.type;
@@ -323,13 +329,13 @@
   KeyId key = held.key;
   DestinationId destination = held.destination;
   auto id = book_.take(std::move(held));
-  if (!id) return busy(admission_.refusal(loop_.now()));
+  if (!id) return {busy(admission_.refusal(loop_.now()))};
   rules_.taken(*id, type, tenant, key, destination, outer);
   log::debug("callback.taken", {{"callback", words[2]},
                                 {"type", facts_.types[type.value]},
                                 {"destination", destination.value},
                                 {"left_ms", outer - loop_.now()}});
-  return "+OK\r\n";
+  return {"+OK\r\n", *id};
 }
 
 void Dispatcher::decide() {
@@ -337,6 +343,21 @@
   calls_.flush();
 }
 
+// What changed is written, and only then acted on towards clients and endpoints.
+void Dispatcher::keep() {
+  book_.commit();
+  for (CallbackId id : book_.lostTakes()) {
+    log::debug("callback.not_kept", {{"callback", id.value}});
+    rules_.clientGone(id);  // its launch, if there is one, is not sent either
+  }
+  calls_.send();
+  intake_.send([this](CallbackId id) -> std::optional<std::string> {
+    if (!book_.lostTake(id)) return std::nullopt;
+    return busy(admission_.refusal(loop_.now()));
+  });
+  book_.forgetLost();
+}
+
 void Dispatcher::ended(CallbackId id, const char* result, Millis wait) {
   const Held* held = book_.find(id);
   if (held == nullptr) return;
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -63,12 +63,13 @@
   void restore();
   void takeNewOrders();
   void move();
-  std::string answer(const std::vector<std::string_view>& words, bool left);
-  std::string submit(const std::vector<std::string_view>& words, bool left);
+  Intake::Answered answer(const std::vector<std::string_view>& words, bool left);
+  Intake::Answered submit(const std::vector<std::string_view>& words, bool left);
   std::string busy(Millis wait);
   Millis ownWork() const;
   void tellSlow(Millis dispatched, Millis decided, Millis whole);
   void decide();
+  void keep();
   void ended(CallbackId id, const char* result, Millis wait);
   void carryOut(const Decision& decision);
   Millis due() const;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <nlohmann/json.hpp>
 
@@ -169,13 +170,17 @@
     net::Journal journal(folder.path.string(), 100000);
     EXPECT_EQ(journal.replay(keep), 4u);
     ASSERT_TRUE(journal.append("new"));
+    EXPECT_TRUE(journal.commit().empty());
   }
   read.clear();
   net::Journal journal(folder.path.string(), 100000);
   EXPECT_EQ(journal.replay(keep), 0u);
   EXPECT_EQ(read, (std::vector<std::string>{"old", "older", "new"}));
-  ASSERT_TRUE(journal.rewrite(net::Journal::framed("old")));
+  ASSERT_TRUE(journal.beginBeside());
+  ASSERT_TRUE(journal.addBeside(net::Journal::framed("old")));
+  ASSERT_TRUE(journal.takeBeside());
   ASSERT_TRUE(journal.append("newer"));
+  EXPECT_TRUE(journal.commit().empty());
   read.clear();
   net::Journal(folder.path.string(), 100000).replay(keep);
   EXPECT_EQ(read, (std::vector<std::string>{"old", "newer"}));
@@ -223,6 +228,7 @@
       std::size_t kept = cut < head.size() ? 0 : cut < whole ? head.size() : cut < bytes.size() ? whole : cut;
       EXPECT_EQ(journal.replay(keep), cut - kept);
       ASSERT_TRUE(journal.append("third"));
+      EXPECT_TRUE(journal.commit().empty());
     }
     EXPECT_FALSE(std::filesystem::exists(path + ".new"));
     read.clear();
@@ -237,7 +243,8 @@
 struct BookBed {
   Folder folder;
   HostFacts facts = readHostFacts(kSettings);
-  net::Book book{facts, folder.path.string(), 60000};
+  net::Book book;
+  explicit BookBed(std::size_t most = 60000) : book(facts, folder.path.string(), most) {}
   std::optional<CallbackId> take(const std::string& ref, std::size_t bytes = 100) {
     return book.take(book.decode("00", ref, "c=order,d=500,dest=7,k=5c", std::string(bytes, 'b'), 1000));
   }
@@ -258,6 +265,7 @@
   bed.book.owe(*dead, net::Result::bounced, 250);
   bed.book.owe(*told, net::Result::dead, 0);
   bed.book.confirmed(*told);
+  bed.book.commit();
   net::Book again(bed.facts, bed.folder.path.string(), 60000);
   EXPECT_EQ(again.restore(), 0u);
   ASSERT_EQ(again.held().size(), 1u);
@@ -293,8 +301,12 @@
       bed.book.completed(held.front());
       held.erase(held.begin());
     }
-    ASSERT_LE(std::filesystem::file_size(bed.folder.path / "journal"), 60000u);
+    if (n % 4 == 0) bed.book.commit();
+    std::size_t bytes = 0;
+    for (const auto& file : std::filesystem::directory_iterator(bed.folder.path)) bytes += file.file_size();
+    ASSERT_LE(bytes, 60000u);
   }
+  bed.book.commit();
   EXPECT_GT(refused, 0u);
   EXPECT_LT(refused, 100u);
   net::Book again(bed.facts, bed.folder.path.string(), 60000);
@@ -302,6 +314,114 @@
   EXPECT_EQ(again.held().size(), held.size());
 }
 
+// Danger: a kill between any two commits, also in the middle of a rewrite that goes on in parts: what the
+// folder then holds must be what the commits kept, no more and no less.
+TEST(Book, AfterAKillAtAnyCommitItHoldsWhatWasKept) {
+  std::mt19937 chance(11);
+  constexpr std::size_t kMost = 500000;
+  BookBed bed(kMost);
+  bed.book.restore();
+  int rewrites = 0;
+  for (int n = 0; n < 9000; ++n) {
+    auto any = [&](const auto& of) {
+      return of.empty() ? CallbackId{0}
+                        : std::next(of.begin(), static_cast<long>(chance() % of.size()))->first;
+    };
+    auto held = [&] { return any(bed.book.held()); };
+    switch (chance() % 7) {
+      case 0:
+      case 1:
+        bed.take("c" + std::to_string(n), 50 + chance() % 5000);
+        break;
+      case 2:
+        bed.book.launched(held(), {"s-1", DestinationId{7}, {}, {}}, n);
+        break;
+      case 3:
+        bed.book.neverRan(held(), static_cast<int>(chance() % 3));
+        break;
+      case 4:
+        bed.book.completed(held());
+        break;
+      case 5:
+        bed.book.owe(held(), net::Result::bounced, n);
+        break;
+      default:
+        bed.book.confirmed(any(bed.book.owed()));
+    }
+    if (chance() % 3 != 0) continue;
+    bed.book.commit();
+    bool halfWay = std::filesystem::exists(bed.folder.path / "journal.new");
+    rewrites += halfWay ? 1 : 0;
+    ASSERT_TRUE(bed.book.lostTakes().empty());
+    if (!halfWay && chance() % 16 != 0) continue;
+    Folder copy;
+    std::filesystem::copy(bed.folder.path / "journal", copy.path / "journal");
+    net::Book again(bed.facts, copy.path.string(), kMost);
+    ASSERT_TRUE(again.restore() == 0u);
+    ASSERT_TRUE(again.held().size() == bed.book.held().size());
+    ASSERT_TRUE(again.owed().size() == bed.book.owed().size());
+    for (const auto& [id, held] : bed.book.held()) {
+      const net::Held* other = again.find(id);
+      ASSERT_TRUE(other != nullptr && other->ref == held.ref && *other->body == *held.body);
+      ASSERT_TRUE(other->launches.size() == held.launches.size());
+      for (std::size_t l = 0; l < held.launches.size(); ++l) {
+        ASSERT_TRUE(other->launches[l].neverRan == held.launches[l].neverRan);
+        ASSERT_TRUE(other->launches[l].sentWall == held.launches[l].sentWall);
+      }
+    }
+    for (const auto& [id, notice] : bed.book.owed()) ASSERT_TRUE(again.owed().at(id).wait == notice.wait);
+  }
+  EXPECT_GT(rewrites, 20);
+}
+
+// A folder that takes no more, for as long as it lives.
+struct NoRoom {
+  rlimit before{};
+  explicit NoRoom(std::size_t bytes) {
+    ::signal(SIGXFSZ, SIG_IGN);
+    ::getrlimit(RLIMIT_FSIZE, &before);
+    rlimit now = before;
+    now.rlim_cur = bytes;
+    ::setrlimit(RLIMIT_FSIZE, &now);
+  }
+  ~NoRoom() { ::setrlimit(RLIMIT_FSIZE, &before); }
+};
+
+// Danger: of what a turn wrote together only a part fits. A launch that was not kept must not be sent, nor
+// may its number let another launch, which may have run, pass for one that never did.
+TEST(Book, OfATurnThatDoesNotFitItKeepsWhatDoesAndCountsLaunchesByThat) {
+  BookBed bed;
+  bed.book.restore();
+  auto first = bed.take("first");
+  bed.book.commit();
+  std::optional<CallbackId> large, small;
+  {
+    NoRoom full(std::filesystem::file_size(bed.folder.path / "journal") + 300);
+    large = bed.take("large", 2000);
+    small = bed.take("small", 10);
+    ASSERT_TRUE(bed.book.launched(*first, {std::string(400, 'e'), {}, {}, {}}, 1));
+    bed.book.commit();
+  }
+  EXPECT_TRUE(bed.book.lostTake(*large));
+  EXPECT_FALSE(bed.book.lostTake(*small));
+  EXPECT_TRUE(bed.book.lostLaunch(*first, 0));
+  EXPECT_EQ(bed.book.find(*large), nullptr);
+  bed.book.forgetLost();
+  ASSERT_TRUE(bed.book.launched(*first, {"s-1", {}, {}, {}}, 2));
+  ASSERT_TRUE(bed.book.launched(*first, {"s-2", {}, {}, {}}, 3));
+  bed.book.neverRan(*first, 0);
+  bed.book.neverRan(*first, 2);
+  bed.book.commit();
+  net::Book again(bed.facts, bed.folder.path.string(), 60000);
+  EXPECT_EQ(again.restore(), 0u);
+  EXPECT_EQ(again.held().size(), 2u);
+  const auto& launches = again.find(*first)->launches;
+  ASSERT_EQ(launches.size(), 2u);
+  EXPECT_EQ(launches[0].sentWall, 2);
+  EXPECT_FALSE(launches[0].neverRan);
+  EXPECT_TRUE(launches[1].neverRan);
+}
+
 TEST(Book, NamesWhatIsWrongWithASubmit) {
   BookBed bed;
   for (auto [ref, list] : {std::pair{"a b", "c=order,d=1,dest=1"},
