--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -63,6 +63,7 @@
   bool opened(Server&, Served&) override;
   void asked(Server&, Served&, Request) override;
   void closed(Server&, Served&) override;
+  std::string reportOf(std::uint32_t endpoint) const;
   void called(const Place& place, Served& served, const Request& request);
   void arrives(std::uint32_t call);
   void reply(const Reply& reply);
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -749,9 +749,7 @@
   auto consider = [&](CallbackId id, const Callback& c, Endpoint* to) {
     Millis latency = usual(*to->path, type(c)).p50;
     auto gainIn = [&](Millis late) { return gainAt(c, s_.now + latency + late); };
-    // By waiting; but a path that returns takes only some for long: there what it still brings counts whole.
-    bool scarce = to->path->cold || to->path->outage;
-    double lost = gainIn(0) - (scarce ? 0 : gainIn(kUrgencyStep * type(c).promised));
+    double lost = gainIn(0) - gainIn(kUrgencyStep * type(c).promised);      // by waiting
     auto place = std::tuple(lost / std::max(1.0, latency), -c.outerLimit);  // for a slot's time
     if (best && (place < bestPlace || (place == bestPlace && *best <= id))) return;
     best = id;
