Launches that are out are walked only after an input about them or when one is due

Need: three walks over all that is out in every turn, also where a turn only took on a callback: with 800 out the dearest part of a turn in a silent time.

Change: the time at which a round wants to be woken is kept; until then, with no end of a launch, no probe, no list and no launch since, nothing of those that are out can be due, and none is walked. Launches called off for want of slots, and copies that were not allowed the last time, are looked at as before.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -107,6 +107,7 @@
 }
 
 void Rules::listEnds(bool whole) {
+  quietUntil_ = -1;
   for (auto& [destination, d] : s_.destinations) d.ranking.clear();
   for (auto& [id, p] : s_.paths) p.endpoints.clear();
   for (auto& [id, e] : s_.endpoints) {
@@ -175,8 +176,8 @@
   Launch& l = c->launches[launch];
   Endpoint& e = *l.endpoint;
   Path& p = *e.path;
-  l.out = false;
-  c->started = false;
+  l.out = c->started = false;
+  quietUntil_ = -1;
   l.neverRan = ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent;
   s_.releaseCall(l.call);
   e.usedAt = s_.now;
@@ -298,6 +299,7 @@
 
 // Something has changed by which its endpoints may be probed sooner.
 void Rules::lookAgain(const Path& p) {
+  quietUntil_ = -1;
   for (const Endpoint* e : p.endpoints) s_.trials.insert(e->id);
 }
 
@@ -577,6 +579,7 @@
   c.launches.push_back({.endpoint = &e, .sent = s_.now, .idle = idle, .call = e.batchCall, .copy = copy});
   s_.place(id, c);
   reached(s_.now + silenceOf(c, p));
+  asked_.launched = s_.round;
   return {Act::launch, id, e.id, static_cast<int>(c.launches.size()) - 1, span};
 }
 
@@ -593,7 +596,7 @@
 // A hung endpoint gives no late answer to learn from: a path with nothing answered for long since a launch
 // went out is taken for out. Looked at once a round, and again after an answer.
 void Rules::noticeSilence() {
-  if (std::exchange(seen_.silence, s_.round) == s_.round) return;
+  if (quiet() || std::exchange(seen_.silence, s_.round) == s_.round) return;
   for (CallbackId id : s_.out) {
     Callback& c = s_.callbacks.at(id);
     for (Launch& l : c.launches) {
@@ -679,6 +682,7 @@
 std::optional<Decision> Rules::freeStuck() {
   if (!terms_.mayWithdraw) return std::nullopt;
   bool wanted = s_.slotsUsed >= terms_.slots;
+  if (!wanted && quiet()) return std::nullopt;
   look();
   if (wanted && !std::exchange(seen_.stuckWanted, wanted)) seen_.stuckFrom = {};
   for (auto at = s_.out.lower_bound(seen_.stuckFrom); at != s_.out.end(); ++at) {
@@ -707,14 +711,10 @@
   return std::nullopt;
 }
 
-void Rules::look() {
-  if (seen_.round != s_.round) seen_ = {seen_.silence, s_.round, {}, {}, false};
-}
-
 std::optional<Decision> Rules::copyDue() {
   // Copies are the first to stop: while slots are short they would take what first launches need.
-  if (!terms_.mayCopy || s_.retryBudget < 1) return std::nullopt;
-  if (s_.slotsUsed >= terms_.slots * kCopySlots) return std::nullopt;
+  bool may = terms_.mayCopy && s_.retryBudget >= 1 && s_.slotsUsed < terms_.slots * kCopySlots;
+  if ((std::exchange(asked_.copies, may) && quiet()) || !may) return std::nullopt;
   look();
   for (auto at = s_.out.lower_bound(seen_.copyFrom); at != s_.out.end(); ++at) {
     CallbackId id = *at;
@@ -830,6 +830,7 @@
 }
 
 std::optional<Decision> Rules::wake() {
+  quietUntil_ = asked_.launched == s_.round ? -1 : wakeWanted_;  // a launch may show in those before it
   if (wakeWanted_ < 0 || (s_.wakeAsked > s_.now && s_.wakeAsked <= wakeWanted_)) return std::nullopt;
   s_.wakeAsked = wakeWanted_;
   return Decision{Act::wake, {}, {}, 0, wakeWanted_};
--- a/src/rules.h
+++ b/src/rules.h
@@ -107,7 +107,17 @@
     CallbackId copyFrom{};
     bool stuckWanted{false};
   } seen_;
-  void look();
+  void look() {
+    if (seen_.round != s_.round) seen_ = {seen_.silence, s_.round, {}, {}, false};
+  }
+  // Between two inputs that tell something of a launch, a path or the list, nothing of those that are out
+  // comes due before the time at which the last round wanted to be woken: until then none is walked.
+  Millis quietUntil_{-1};
+  bool quiet() { return !reached(quietUntil_); }
+  struct Asked {
+    bool copies{false};  // whether copies might go out, the last time
+    int launched{-1};    // the last round with a launch
+  } asked_;
 };
 
 }  // namespace stonewing
