--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -309,7 +309,7 @@
   flushNoted();
   if (!journal_.besideOpen() && rewriteWanted()) {
     rewritten_ = {};
-    journal_.beginBeside();
+    if (!journal_.beginBeside()) notAgain_ = journal_.size() + journal_.most() / kWorthRewriting;
   }
   if (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
 }
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -17,6 +17,7 @@
 namespace stonewing::net {
 namespace {
 
+constexpr std::size_t kBufferKept = 64 * 1024;
 constexpr std::size_t kBlock = 512;  // files count in whole ones
 
 constexpr std::string_view kMark = "SWJ";  // no record is so long that these could be its length
@@ -165,7 +166,8 @@
       if (!writeWhole(headless ? headOf() + std::string(one) : std::string(one))) lost.push_back(n);
     }
   }
-  buffer_ = std::move(bytes);  // its room is of use again
+  if (bytes.capacity() <= kBufferKept)
+    buffer_ = std::move(bytes);  // its room is of use again; a burst's is not
   buffer_.clear();
   return lost;
 }
