--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kWordMost = 128;
 constexpr std::size_t kReserve = 1024;     // of the journal for what a callback held may still add to it
 constexpr std::size_t kOwedReserve = 256;  // and for an end that is owed
-// A rewrite goes on in every commit by a part that takes well under a millisecond.
+// A rewrite goes on by such a part in every commit.
 constexpr std::size_t kRewriteAtOnce = 64 * 1024;
 constexpr int kPassedOver = 64;
 constexpr std::size_t kWorthRewriting = 16;  // a part of the file's most that may be won by it
@@ -230,7 +230,15 @@
   }
   bool good = journal_.addBeside(bytes);
   if (good && held == held_.end() && owed == owed_.end()) good = journal_.takeBeside();
-  if (good) return;
+  if (!good) rewriteFailed();
+}
+
+void Book::rewriteBegins() {
+  rewritten_ = {};
+  if (!journal_.beginBeside()) rewriteFailed();
+}
+
+void Book::rewriteFailed() {
   notAgain_ = journal_.size() + journal_.most() / kWorthRewriting;
   log::error("journal.not_rewritten", {{"bytes", journal_.size()}});
 }
@@ -247,10 +255,7 @@
 void Book::rewriteNow() {
   if (passedOver_ > 0 && --passedOver_ > 0) return;
   flushNoted();
-  if (!journal_.besideOpen()) {
-    rewritten_ = {};
-    journal_.beginBeside();
-  }
+  if (!journal_.besideOpen()) rewriteBegins();
   std::size_t before = journal_.size();
   while (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
   // Danger: a folder that is full would have all that is held read through for each record.
@@ -302,15 +307,12 @@
   for (const Noted& one : noted) {
     if (one.callback < rewritten_ && !one.record.empty()) bytes += Journal::framed(one.record);
   }
-  if (!bytes.empty() && !journal_.addBeside(bytes)) notAgain_ = journal_.size();
+  if (!bytes.empty() && !journal_.addBeside(bytes)) rewriteFailed();
 }
 
 void Book::commit() {
   flushNoted();
-  if (!journal_.besideOpen() && rewriteWanted()) {
-    rewritten_ = {};
-    if (!journal_.beginBeside()) notAgain_ = journal_.size() + journal_.most() / kWorthRewriting;
-  }
+  if (!journal_.besideOpen() && rewriteWanted()) rewriteBegins();
   if (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
 }
 
@@ -335,8 +337,8 @@
   if (held == nullptr) return false;
   LaunchNote sent{endpoint, wall, false};
   std::string record = launchRecord(id, sent);
-  roomFor(record.size() +
-          Journal::kFrame);  // first: a rewrite must not find the launch, which comes after it
+  // Room first: a rewrite must not find the launch, whose record comes after it.
+  roomFor(record.size() + Journal::kFrame);
   held->launches.push_back(std::move(sent));
   int launch = static_cast<int>(held->launches.size()) - 1;
   if (keep(std::move(record), {Tag::launched, id, launch, {}})) return true;
--- a/src/net/book.h
+++ b/src/net/book.h
@@ -29,8 +29,8 @@
   EndpointNote endpoint;
   Millis sentWall{};
   bool neverRan{false};
-  bool noted{
-      true};  // false: the journal would not take it, so that it was never sent and does not count there
+  // False: the journal would not take it, so that it was never sent and does not count there.
+  bool noted{true};
 };
 
 // A callback that is held, with what the module does not need to know of it.
@@ -124,6 +124,8 @@
   void flushNoted();
   void rewriteSome(std::size_t most);
   void rewriteNow();
+  void rewriteBegins();
+  void rewriteFailed();
   bool rewriteWanted() const;
   std::size_t liveBytes() const;
   static std::size_t takenSize(const Held& held);  // of its record
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -24,7 +24,6 @@
   std::size_t replay(const std::function<void(std::string_view)>& record);
   // Notes a record, to be written by the next commit. False: it has no room, and is not noted.
   bool append(std::string_view record);
-  std::size_t noted() const { return ends_.size(); }
   // Writes all that is noted in one go. Returns the places, in the order of append, of those that could not
   // be written; the file holds the others, whole and in order.
   std::vector<std::size_t> commit();
