--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -8,6 +8,7 @@
 
 // A client waits 400 ms for its answer. Turns of a tenth of that leave room for the way there and back; at a
 // quarter of it, what waits unread is answered too late to be of use.
+constexpr Millis kClientWaits = 400;
 constexpr Millis kWorkEasy = 40;
 constexpr Millis kWorkMost = 100;
 constexpr double kWorkPart = 0.25;      // of a turn in the running mean, when it is shorter than that
@@ -43,18 +44,24 @@
   if (facts.held >= terms_.heldMost) return kNoPlace;  // up to there the rules make room by themselves
   // Turns that have rested since tell of an earlier time.
   double work = workAt_ < 0 ? 0 : work_ * std::exp(-std::max(0.0, facts.now - workAt_) / kRecent);
-  return std::max(between(work, kWorkEasy, kWorkMost), between(facts.journalFull, kJournalEasy, 1));
+  // A folder that hangs keeps all answers waiting as a long turn does, though the loop itself is at leisure.
+  return std::max({between(work, kWorkEasy, kWorkMost), between(facts.writeHangs, kWorkEasy, kWorkMost),
+                   between(facts.journalFull, kJournalEasy, 1)});
 }
 
 // When there will be room for one more: behind those that were refused before it, at the rate at which
-// callbacks end. Drawn apart, so that not all come back at the same moment.
-Millis Admission::advice(Millis now) {
+// callbacks end. A folder that hangs lets nothing end, and nobody knows for how long: it is thought to go on
+// for as long again, but a refusal costs no more time than no answer would, since who comes back may meet
+// another dispatcher. Drawn apart, so that not all come back at the same moment.
+Millis Admission::advice(Millis now, Millis hangs) {
   double rate = faded(ends_, now - endsAt_) / kRecent;
   refusals_ = 1 + faded(refusals_, now - refusalsAt_);
   refusalsAt_ = now;
   double spread = kSpreadLeast + (kSpreadMost - kSpreadLeast) * static_cast<double>(chance_()) / 4294967296.0;
   if (!terms_.mayAdvise || terms_.longestAdvice <= 0) return 0;
-  double wait = rate > 0 ? refusals_ / rate : terms_.longestAdvice;
+  double wait = hangs > kWorkEasy ? std::min(hangs, kClientWaits)
+                : rate > 0        ? refusals_ / rate
+                                  : terms_.longestAdvice;
   Millis most = terms_.longestAdvice;
   return std::clamp(std::min(wait, most / kSpreadMost) * spread, std::min(kShortestAdvice, most), most);
 }
@@ -64,7 +71,7 @@
   double pressed = pressure(facts);
   // What is worth most is turned away last, and nothing is while nothing presses.
   if (pressed <= 0 || (pressed < 1 && worth > pressed)) return {true, 0};
-  return {false, advice(facts.now)};
+  return {false, advice(facts.now, facts.writeHangs)};
 }
 
 }  // namespace stonewing
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -6,8 +6,8 @@
 #include "core/ids.h"
 
 // Whether a callback is taken on at all, decided before it is written to the journal. The rules decide about
-// what is held; this decides only about our own overload: no place, no room in the journal, or a loop that is
-// behind. No clock, no chance and no sockets of its own.
+// what is held; this decides only about our own overload: no place, no room in the journal, a folder that
+// hangs, or a loop that is behind. No clock, no chance and no sockets of its own.
 namespace stonewing {
 
 struct AdmissionTerms {
@@ -22,6 +22,7 @@
   Millis now{0};
   int held{0};
   double journalFull{0};  // share of what the journal may hold
+  Millis writeHangs{0};   // for how long a write of the journal has been under way
 };
 
 struct AdmissionCall {
@@ -49,7 +50,7 @@
   double pressure(const AdmissionFacts& facts) const;
 
  private:
-  Millis advice(Millis now);
+  Millis advice(Millis now, Millis hangs = 0);
   static double faded(double count, Millis span);
 
   AdmissionTerms terms_;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -20,8 +20,8 @@
 using nlohmann::json;
 namespace fs = std::filesystem;
 
-Process::Process(std::string binary, std::string folder)
-    : binary_(std::move(binary)), folder_(std::move(folder)) {
+Process::Process(std::string binary, std::string folder, std::string preload)
+    : binary_(std::move(binary)), folder_(std::move(folder)), preload_(std::move(preload)) {
   fs::create_directories(folder_ + "/state");
 }
 
@@ -59,6 +59,10 @@
       ::dup2(out, 1);
       ::dup2(out, 2);
     }
+    if (!preload_.empty()) {
+      ::setenv("LD_PRELOAD", preload_.c_str(), 1);
+      ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+    }
     ::execv(arguments[0], const_cast<char**>(arguments));
     ::_exit(127);
   }
@@ -79,6 +83,16 @@
   ::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
 }
 
+void Process::hangFiles(bool on) const {
+  std::string mark = folder_ + "/state/hang";
+  if (on) {
+    std::ofstream out(mark);
+  } else {
+    std::error_code none;
+    fs::remove(mark, none);
+  }
+}
+
 bool Process::running() {
   if (pid_ <= 0) return false;
   int status = 0;
@@ -193,6 +207,7 @@
               {"disk_mb", plan.fleet.diskMegabytes}}},
             {"known", json::parse(known)},
             {"settings", settings}};
+  if (plan.fleet.writesAside) file["journal"] = {{"writer", "aside"}};
   return file.dump(1);
 }
 
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -21,7 +21,8 @@
 class Process {
  public:
   // folder: its own, made where it is missing. Its log goes to folder/log.txt.
-  Process(std::string binary, std::string folder);
+  // preload: a library loaded into it; empty for none.
+  Process(std::string binary, std::string folder, std::string preload = {});
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -31,6 +32,8 @@
   void signal(int number) const;
   // No room in its folder any more: the kernel lets none of its files grow.
   void limitFiles(bool on) const;
+  // A write to its journal takes until this is lifted; needs the library that stands in for such a folder.
+  void hangFiles(bool on) const;
   bool running();  // also takes note of an end
   // Ended by itself, with neither a signal of ours nor the code 0.
   bool crashed() const { return crashed_; }
@@ -41,6 +44,7 @@
  private:
   std::string binary_;
   std::string folder_;
+  std::string preload_;
   pid_t pid_{-1};
   bool expected_{false};  // an end is
   bool crashed_{false};
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -31,6 +31,7 @@
     {"drain", TroubleKind::drain},         {"list-wrong", TroubleKind::listWrong},
     {"kill", TroubleKind::kill},           {"stop", TroubleKind::stop},
     {"terminate", TroubleKind::terminate}, {"disk-full", TroubleKind::diskFull},
+    {"disk-hang", TroubleKind::diskHang},
 };
 
 // How many letters must change to make one word of the other.
@@ -299,6 +300,7 @@
   in.number("memory_mb", f.memoryMegabytes, 4, 1e6);
   in.number("disk_mb", f.diskMegabytes, 0.1, 1e6);
   in.number("sockets", f.sockets, 64, 1e6);
+  in.flag("writes_aside", f.writesAside);
   in.number("restart_s", f.restart, 0.05, 600, kMillisPerSecond);
   in.done();
 }
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -96,6 +96,7 @@
   stop,        // SIGSTOP until the end
   terminate,   // SIGTERM, started anew at the end
   diskFull,    // no room in the dispatcher's folder
+  diskHang,    // a write there takes until the end
 };
 
 struct TroublePlan {
@@ -125,6 +126,7 @@
   double diskMegabytes{8};
   int sockets{512};
   Millis restart{600};
+  bool writesAside{false};  // a thread of its own writes the journal
 };
 
 struct Plan {
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -82,10 +82,12 @@
         town_(plan, seed ^ 0x5bd1e995u, played_.trace),
         world_(loop_, agenda_, clock_, plan, town_, played_.trace) {
     std::vector<std::string> addresses;
+    bool hangs = std::any_of(plan.troubles.begin(), plan.troubles.end(),
+                             [](const TroublePlan& t) { return t.kind == TroubleKind::diskHang; });
     for (int d = 0; d < plan.fleet.dispatchers; ++d) {
       addresses.push_back(freeAddress(d));
       std::string folder = choices.folder + "/n" + std::to_string(d);
-      processes_.push_back(std::make_unique<Process>(choices.binary, folder));
+      processes_.push_back(std::make_unique<Process>(choices.binary, folder, hangs ? STONEWING_HANG : ""));
       std::filesystem::remove(folder + "/state/journal");
       processes_.back()->configure(configurationOf(plan, d, addresses.back(), world_.discovery(d),
                                                    std::filesystem::absolute(folder + "/state").string(),
@@ -189,6 +191,9 @@
         case TroubleKind::diskFull:
           process(d).limitFiles(begins);
           break;
+        case TroubleKind::diskHang:
+          process(d).hangFiles(begins);
+          break;
         default:
           return;
       }
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -405,6 +405,7 @@
     case TroubleKind::stop:
     case TroubleKind::terminate:
     case TroubleKind::diskFull:
+    case TroubleKind::diskHang:
       return;
     default:
       break;
--- a/src/net/book.cpp
+++ b/src/net/book.cpp
@@ -56,8 +56,8 @@
 
 }  // namespace
 
-Book::Book(const HostFacts& facts, const std::string& folder, std::size_t mostBytes)
-    : facts_(facts), journal_(folder, mostBytes) {}
+Book::Book(const HostFacts& facts, const std::string& folder, std::size_t mostBytes, bool aside)
+    : facts_(facts), journal_(folder, mostBytes, aside) {}
 
 Held Book::decode(std::string_view key, std::string_view ref, std::string_view list, std::string_view body,
                   Millis wall) const {
@@ -144,6 +144,7 @@
       log::error("journal.record_passed_over", {{"why", problem.what()}});
     }
   });
+  decidedNext_ = next_;
   return cut;
 }
 
@@ -211,6 +212,7 @@
 // The records of all that is held or owed from rewritten_ on, by id, until there are `most` bytes of them.
 void Book::rewriteSome(std::size_t most) {
   std::string bytes;
+  CallbackId from = rewritten_;
   auto held = held_.lower_bound(rewritten_);
   auto owed = owed_.lower_bound(rewritten_);
   auto put = [&](const std::string& record) { bytes += Journal::framed(record); };
@@ -228,8 +230,13 @@
       ++owed;
     }
   }
+  // What is noted and not written yet of those just passed stands there already.
+  for (Noted& one : noted_) {
+    if (one.callback >= from && one.callback < rewritten_) one.record.clear();
+  }
   bool good = journal_.addBeside(bytes);
-  if (good && held == held_.end() && owed == owed_.end()) good = journal_.takeBeside();
+  bool all = held == held_.end() && owed == owed_.end();
+  if (good && all && noted_.empty()) good = journal_.takeBeside();
   if (!good) rewriteFailed();
 }
 
@@ -253,11 +260,22 @@
 
 // All at once, since there is no room to wait.
 void Book::rewriteNow() {
-  if (passedOver_ > 0 && --passedOver_ > 0) return;
-  flushNoted();
+  if (under() || (passedOver_ > 0 && --passedOver_ > 0)) return;
+  do {
+    begin();
+    while (!journal_.written(1000)) {
+    }
+    finished();
+  } while (unwritten());
   if (!journal_.besideOpen()) rewriteBegins();
   std::size_t before = journal_.size();
-  while (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
+  while (journal_.besideOpen() && !journal_.taking()) rewriteSome(kRewriteAtOnce);
+  if (journal_.taking()) {
+    begin();
+    while (!journal_.written(1000)) {
+    }
+    finished();
+  }
   // Danger: a folder that is full would have all that is held read through for each record.
   if (journal_.size() >= before) passedOver_ = kPassedOver;
 }
@@ -281,14 +299,27 @@
   return keep(std::move(record), std::move(noted));
 }
 
-void Book::flushNoted() {
-  if (noted_.empty()) return;
-  std::vector<Noted> noted = std::exchange(noted_, {});
-  std::vector<std::size_t> lost = journal_.commit();
+void Book::begin() {
+  // While a rewrite takes the file's place nothing is added to either.
+  carried_ = !journal_.taking();
+  if (carried_) {
+    flying_ = std::exchange(noted_, {});
+    flyingNext_ = next_;
+  }
+  journal_.begin();
+}
+
+void Book::finished() {
+  std::vector<Noted> noted = std::exchange(flying_, {});
+  std::vector<std::size_t> lost = journal_.finish();
+  if (carried_) decidedNext_ = flyingNext_;
+  bool shownLost = false;
   for (std::size_t n : lost) {
     const Noted& one = noted[n];
+    shownLost = shownLost || (one.record.empty() && one.callback < rewritten_);
     if (one.tag == Tag::taken) {
       lostTakes_.insert(one.callback);
+      if (find(one.callback) == nullptr) continue;
       drop(one.callback);
       --over_;  // it never was taken on
     } else if (one.tag == Tag::launched) {
@@ -301,7 +332,13 @@
     }
   }
   if (!lost.empty()) log::error("journal.not_written", {{"records", lost.size()}});
+  if (journal_.besideFailed()) rewriteFailed();
   if (!journal_.besideOpen()) return;
+  // Danger: the rewrite already shows what the file would not take; launches would be counted apart.
+  if (shownLost) {
+    journal_.dropBeside();
+    return rewriteFailed();
+  }
   // What the rewrite has passed hears of it too; the rest it will find as it then is.
   std::string bytes;
   for (const Noted& one : noted) {
@@ -310,10 +347,22 @@
   if (!bytes.empty() && !journal_.addBeside(bytes)) rewriteFailed();
 }
 
-void Book::commit() {
-  flushNoted();
+bool Book::landed(Millis patience) {
+  if (under()) {
+    if (!journal_.written(patience)) return false;
+    finished();
+  }
   if (!journal_.besideOpen() && rewriteWanted()) rewriteBegins();
-  if (journal_.besideOpen()) rewriteSome(kRewriteAtOnce);
+  if (journal_.besideOpen() && !journal_.taking()) rewriteSome(kRewriteAtOnce);
+  return true;
+}
+
+void Book::commit() {
+  do {
+    begin();
+    while (!landed(1000)) {
+    }
+  } while (unwritten());
 }
 
 std::optional<CallbackId> Book::take(Held held) {
--- a/src/net/book.h
+++ b/src/net/book.h
@@ -61,7 +61,8 @@
 // told. So a kill at any moment loses nothing that a client or the platform was promised.
 class Book {
  public:
-  Book(const HostFacts& facts, const std::string& folder, std::size_t mostBytes);
+  // aside: a thread of its own writes the journal.
+  Book(const HostFacts& facts, const std::string& folder, std::size_t mostBytes, bool aside = false);
 
   // Reads what an earlier process left; returns the bytes of a torn tail that were cut.
   std::size_t restore();
@@ -71,10 +72,20 @@
               Millis wall) const;
   // No value: there is no room in the journal. It is taken on once a commit has kept it.
   std::optional<CallbackId> take(Held held);
-  // Writes what was noted since the last commit, and goes on with a rewrite of the journal where one is due.
+  // Writes what was noted since the last time, and goes on with a rewrite of the journal where one is due.
   // Calls and clients then ask what was kept. What the file would not take: a callback is dropped again, a
-  // launch counts as never sent, an end is still acted on.
-  void commit();
+  // launch counts as never sent, an end is still acted on. Begun only where nothing is under way.
+  void begin();
+  // Whether nothing is under way any more; waits for so long, in milliseconds.
+  bool landed(Millis patience);
+  bool under() const { return journal_.under(); }
+  // What was noted before the last begin may be acted on, once that has landed.
+  bool carried() const { return carried_; }
+  bool unwritten() const { return !noted_.empty(); }
+  void commit();  // all of it, however long it takes
+  // Whether the journal holds the taking of one, or knows by now that it will not.
+  bool decided(CallbackId id) const { return id.value < decidedNext_; }
+  int descriptor() const { return journal_.descriptor(); }
   // What the file would not take since it was last forgotten.
   void forgetLost() {
     lostTakes_.clear();
@@ -121,7 +132,7 @@
   bool note(std::string record, Noted noted);
   bool keep(std::string record, Noted noted);
   bool roomFor(std::size_t more);
-  void flushNoted();
+  void finished();
   void rewriteSome(std::size_t most);
   void rewriteNow();
   void rewriteBegins();
@@ -142,7 +153,11 @@
   std::map<CallbackId, Held> held_;
   std::map<CallbackId, Notice> owed_;
   std::unordered_map<std::string, CallbackId> byRef_;
-  std::vector<Noted> noted_;  // beside what the journal holds for its next commit
+  std::vector<Noted> noted_;   // beside what the journal holds for its next commit
+  std::vector<Noted> flying_;  // the same for the one that is under way
+  bool carried_{true};
+  std::uint32_t flyingNext_{1};   // next_ when it was begun
+  std::uint32_t decidedNext_{1};  // and of the last that has landed
   std::set<CallbackId> lostTakes_;
   std::set<std::pair<CallbackId, int>> lostLaunches_;
   // Of a rewrite that is under way: all before this id stands in the new file as it is now.
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -84,17 +84,34 @@
   }
 }
 
-// Nothing may come between flush and this but the book's commit.
 void Calls::send() {
-  for (Line* line : std::exchange(noted_, {})) {
+  std::vector<Line*> due = std::exchange(noted_, {});
+  for (Line* line : due) {
     for (const Member& m : line->members) {
       if (book_.find(m.callback) == nullptr || book_.lostLaunch(m.callback, m.launch)) line->failed = true;
     }
+    if (!line->failed && loop_.now() > line->sent && !stillWanted(*line)) continue;
     if (!line->failed) write(*line);
     settle(*line);
   }
 }
 
+// Danger: a write of the journal that hung has kept a launch back. Sent as if nothing had been, it could
+// reach an endpoint that drains by now or has told to wait, and its endpoint would pass for one that was
+// silent so long.
+bool Calls::stillWanted(Line& line) {
+  auto may = [&](const Member& m) { return loop_.now() < m.due && rules_.mayBegin(m.callback, m.launch); };
+  if (!std::all_of(line.members.begin(), line.members.end(), may)) {
+    tellAll(line, Ending::notSent);
+    line.members.clear();
+    release(line);
+    return false;
+  }
+  line.sent = loop_.now();
+  for (const Member& m : line.members) rules_.goesOutNow(m.callback, m.launch);
+  return true;
+}
+
 Millis Calls::dueOf(const Line& line) const {
   if (line.failed) return 0;
   if (!line.busy()) return line.usedAt + idleMost();
@@ -186,6 +203,7 @@
 
 void Calls::release(Line& line) {
   unsettle(line);
+  std::erase(noted_, &line);
   for (const Member& m : line.members) carries_.erase({m.callback, m.launch});
   auto at = line.self;
   line.close();
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -67,6 +67,7 @@
   std::string_view nameAt(EndpointId endpoint) const;
   Line& lineTo(EndpointId endpoint);
   void write(Line& line);
+  bool stillWanted(Line& line);
   void tell(Line& line, Member& member, Ending ending, bool over, Millis wait);
   void tellAll(Line& line, Ending ending, bool over = false, Millis wait = 0);
   void readMany(Line& line, Millis wait);
--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -130,6 +130,10 @@
     count();
     intake_.settle(*this);
   }
+  bool waitsFor(const Intake::Decided& decided) const {
+    return std::any_of(answers_.begin(), answers_.end(),
+                       [&](const Answered& a) { return a.ifKept && !decided(*a.ifKept); });
+  }
   // What it was answered in this turn goes out.
   void send(const Instead& instead) {
     for (Answered& a : std::exchange(answers_, {})) {
@@ -224,7 +228,7 @@
   int fd_;
   std::string in_;
   Outgoing out_;
-  std::vector<Answered> answers_;  // of this turn
+  std::vector<Answered> answers_;  // not sent yet
   std::vector<std::string_view> words_;
   std::size_t counted_{0};
   std::size_t dropped_{0};
@@ -270,9 +274,14 @@
   for (auto at = clients_.begin(); at != clients_.end();) (*at++)->leave();
 }
 
-void Intake::send(const Instead& instead) {
+void Intake::send(const Decided& decided, const Instead& instead) {
   for (Client* client : std::exchange(answering_, {})) {
-    if (client != nullptr) client->send(instead);
+    if (client == nullptr) continue;
+    if (client->waitsFor(decided)) {
+      answering_.push_back(client);
+    } else {
+      client->send(instead);
+    }
   }
 }
 
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -42,8 +42,11 @@
   void stopListening();
   // Closes each client that stands between commands; the rest as soon as they do.
   void leave();
-  // Sends what was answered since the last time.
-  void send(const Instead& instead);
+  // Whether it is known what became of a callback that was taken.
+  using Decided = std::function<bool(CallbackId)>;
+  // Sends what was answered since the last time; where an answer waits for its callback to be decided, all of
+  // its client's wait with it.
+  void send(const Decided& decided, const Instead& instead);
   std::size_t waiting() const { return answering_.size(); }  // clients whose answers were not sent yet
   std::size_t clients() const { return clients_.size(); }
   void tick();
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -52,15 +52,17 @@
 
 }  // namespace
 
-Journal::Journal(const std::string& folder, std::size_t mostBytes)
+Journal::Journal(const std::string& folder, std::size_t mostBytes, bool aside)
     : path_(folder + "/journal"), most_(mostBytes - std::min(mostBytes, 2 * kBlock)) {
   // Left by a rewrite that a kill cut short; the old file still holds everything.
   ::unlink((path_ + ".new").c_str());
   fd_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (fd_ < 0) throw std::system_error(errno, std::generic_category(), "cannot open " + path_);
+  if (aside) writer_ = std::make_unique<Writer>();
 }
 
 Journal::~Journal() {
+  if (flight_ && !written(0)) return;  // it hangs, and uses both files; the process is about to end
   dropBeside();
   ::close(fd_);
 }
@@ -115,14 +117,14 @@
   to.append(record);
 }
 
-bool Journal::writeAll(int fd, std::string_view bytes) {
-  while (!bytes.empty()) {
+bool Journal::Flight::writeAll(int to, std::string_view part) {
+  while (!part.empty()) {
     auto began = std::chrono::steady_clock::now();
-    ssize_t n = ::write(fd, bytes.data(), bytes.size());
-    writing_ += std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    ssize_t n = ::write(to, part.data(), part.size());
+    spent += std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
     if (n < 0 && errno == EINTR) continue;
     if (n <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(n));
+    part.remove_prefix(static_cast<std::size_t>(n));
   }
   return true;
 }
@@ -131,7 +133,8 @@
   bool first = size() == 0;
   std::size_t after = size() + (first ? kHead : 0) + kFrame + record.size();
   if (after > most_) return false;
-  if (after + besideSize_ > most_) dropBeside();  // what is owed comes before what saves room later
+  if (after + besideSize_ > most_ && !flight_)
+    dropBeside();  // what is owed comes before what saves room later
   if (first) buffer_ = headOf();
   frame(buffer_, version_, record);
   ends_.push_back(buffer_.size());
@@ -139,37 +142,91 @@
 }
 
 // Half a record would hide all later ones from the next start.
-bool Journal::writeWhole(std::string_view bytes) {
-  if (writeAll(fd_, bytes)) {
-    size_ += bytes.size();
+bool Journal::Flight::writeWhole(std::string_view part) {
+  // The head stands before the first record, whichever that is.
+  bool headless = size == 0 && part.substr(0, kMark.size()) != kMark;
+  std::string whole = headless ? headOf() + std::string(part) : std::string();
+  if (headless) part = whole;
+  if (writeAll(fd, part)) {
+    size += part.size();
     return true;
   }
-  if (::ftruncate(fd_, static_cast<off_t>(size_)) != 0) {
+  if (::ftruncate(fd, static_cast<off_t>(size)) != 0) {
     throw std::system_error(errno, std::generic_category(), "cannot take back a record half written");
   }
   return false;
 }
 
-std::vector<std::size_t> Journal::commit() {
-  std::vector<std::size_t> lost;
-  if (ends_.empty()) return lost;
-  std::string bytes = std::exchange(buffer_, {});
-  std::vector<std::size_t> ends = std::exchange(ends_, {});
-  if (!writeWhole(bytes)) {
-    // Together they had no room. One by one some may: an end is short, and makes room for others.
-    std::size_t from = 0;
-    for (std::size_t n = 0; n < ends.size(); ++n) {
-      std::string_view one = std::string_view(bytes).substr(from, ends[n] - from);
-      from = ends[n];
-      // The head stands before the first record, whichever that is.
-      bool headless = size_ == 0 && n > 0;
-      if (!writeWhole(headless ? headOf() + std::string(one) : std::string(one))) lost.push_back(n);
+void Journal::Flight::write() {
+  try {
+    if (!ends.empty() && !writeWhole(bytes)) {
+      // Together they had no room. One by one some may: an end is short, and makes room for others.
+      std::size_t from = 0;
+      for (std::size_t n = 0; n < ends.size(); ++n) {
+        std::string_view one = std::string_view(bytes).substr(from, ends[n] - from);
+        from = ends[n];
+        if (!writeWhole(one)) lost.push_back(n);
+      }
+    }
+    if (beside >= 0) {
+      besideGood = writeAll(beside, besideBytes);
+      if (takes && besideGood) besideGood = ::rename((path + ".new").c_str(), path.c_str()) == 0;
     }
+  } catch (...) {
+    problem = std::current_exception();
   }
-  if (bytes.capacity() <= kBufferKept)
-    buffer_ = std::move(bytes);  // its room is of use again; a burst's is not
-  buffer_.clear();
-  return lost;
+}
+
+void Journal::begin() {
+  if (ends_.empty() && besideOut_.empty() && !takes_) return;
+  flight_ = std::make_shared<Flight>();
+  Flight& f = *flight_;
+  f.fd = fd_;
+  f.size = size_;
+  f.path = path_;
+  // Danger: what is noted in the old file while the new one takes its place would be lost. It waits.
+  if (!takes_) {
+    f.bytes = std::exchange(buffer_, {});
+    f.ends = std::exchange(ends_, {});
+  }
+  f.beside = beside_;
+  f.besideBytes = std::exchange(besideOut_, {});
+  f.takes = takes_;
+  if (writer_) {
+    writer_->hand([flight = flight_] { flight->write(); });
+  } else {
+    f.write();
+  }
+}
+
+bool Journal::written(Millis patience) { return !flight_ || !writer_ || writer_->done(patience); }
+
+std::vector<std::size_t> Journal::finish() {
+  if (!flight_) return {};
+  std::shared_ptr<Flight> f = std::exchange(flight_, nullptr);
+  if (f->problem) std::rethrow_exception(f->problem);
+  writing_ += writer_ ? 0 : f->spent;  // aside it held nobody up
+  size_ = f->size;
+  if (buffer_.empty() && f->bytes.capacity() <= kBufferKept) {
+    buffer_ = std::move(f->bytes);  // its room is of use again; a burst's is not
+    buffer_.clear();
+  }
+  bool took = std::exchange(takes_, false) && f->besideGood;
+  if (!f->besideGood) {
+    besideLost_ = true;
+    dropBeside();
+  } else if (took) {
+    ::close(std::exchange(fd_, std::exchange(beside_, -1)));
+    size_ = std::exchange(besideSize_, 0);
+  }
+  return std::move(f->lost);
+}
+
+std::vector<std::size_t> Journal::commit() {
+  begin();
+  while (!written(1000)) {
+  }
+  return finish();
 }
 
 bool Journal::beginBeside() {
@@ -179,8 +236,16 @@
 }
 
 bool Journal::addBeside(std::string_view framed) {
-  if (beside_ >= 0 && size() + besideSize_ + framed.size() <= most_ && writeAll(beside_, framed)) {
+  bool room = beside_ >= 0 && size() + besideSize_ + framed.size() <= most_;
+  if (room && writer_) {
+    besideOut_ += framed;
+    besideSize_ += framed.size();
+    return true;
+  }
+  Flight now;
+  if (room && now.writeAll(beside_, framed)) {
     besideSize_ += framed.size();
+    writing_ += now.spent;
     return true;
   }
   dropBeside();
@@ -188,7 +253,21 @@
 }
 
 bool Journal::takeBeside() {
-  if (beside_ < 0 || !ends_.empty() || ::rename((path_ + ".new").c_str(), path_.c_str()) != 0) {
+  if (beside_ < 0 || !ends_.empty()) {
+    dropBeside();
+    return false;
+  }
+  // Records are noted in the form of the file that they go to; one of the first version changes at once.
+  if (writer_ && version_ == Version::second) return takes_ = true;
+  if (writer_) {
+    commit();
+    if (beside_ < 0) return false;
+  }
+  return takeNow();
+}
+
+bool Journal::takeNow() {
+  if (::rename((path_ + ".new").c_str(), path_.c_str()) != 0) {
     dropBeside();
     return false;
   }
@@ -203,6 +282,8 @@
   ::close(std::exchange(beside_, -1));
   ::unlink((path_ + ".new").c_str());
   besideSize_ = 0;
+  besideOut_ = {};
+  takes_ = false;
 }
 
 }  // namespace stonewing::net
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -1,11 +1,16 @@
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "net/writer.h"
+
 namespace stonewing::net {
 
 // A file of records that outlives the process: each with its length and a check sum, written whole. It begins
@@ -14,8 +19,8 @@
 class Journal {
  public:
   // Throws where the folder cannot be used, or holds a journal of a version we do not know. mostBytes bounds
-  // the file, and a rewrite of it beside it.
-  Journal(const std::string& folder, std::size_t mostBytes);
+  // the file, and a rewrite of it beside it. aside: a thread of its own writes.
+  Journal(const std::string& folder, std::size_t mostBytes, bool aside = false);
   ~Journal();
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
@@ -24,23 +29,35 @@
   std::size_t replay(const std::function<void(std::string_view)>& record);
   // Notes a record, to be written by the next commit. False: it has no room, and is not noted.
   bool append(std::string_view record);
-  // Writes all that is noted in one go. Returns the places, in the order of append, of those that could not
-  // be written; the file holds the others, whole and in order.
-  std::vector<std::size_t> commit();
+  // Writes all that is noted in one go. Nothing may be under way already.
+  void begin();
+  // Whether all that was begun is written; waits for so long, in milliseconds.
+  bool written(Millis patience);
+  // Once it is: the places, in the order of append, of those that could not be written; the file holds the
+  // others, whole and in order. Throws where a record that was half written cannot be taken back.
+  std::vector<std::size_t> finish();
+  std::vector<std::size_t> commit();  // the three together
+  bool under() const { return flight_ != nullptr; }
+  int descriptor() const { return writer_ ? writer_->descriptor() : -1; }
 
   // A rewrite beside the file, in as many steps as its owner likes; what is committed meanwhile goes to the
   // file as ever. A kill at any step leaves the old or the new. Each returns false where it could not be
-  // done; the rewrite is then given up and the file is as it was.
+  // done; the rewrite is then given up and the file is as it was. Written aside, the bytes go with the next
+  // begin, and what became of them shows at its finish.
   bool beginBeside();
   bool addBeside(std::string_view framed);
   bool takeBeside();  // in place of the file; nothing may be noted that was not committed
   void dropBeside();
   bool besideOpen() const { return beside_ >= 0; }
+  bool taking() const {
+    return takes_;
+  }  // it is to be taken with the next begin, and nothing else is written then
+  bool besideFailed() { return std::exchange(besideLost_, false); }  // at a finish, since asked last
   std::size_t besideSize() const { return besideSize_; }
 
   // Milliseconds spent in writing so far: a slow folder holds its process up, and no processor time shows it.
   double writing() const { return writing_; }
-  std::size_t size() const { return size_ + buffer_.size(); }
+  std::size_t size() const { return size_ + buffer_.size() + (flight_ ? flight_->bytes.size() : 0); }
   std::size_t most() const { return most_; }
   static std::string framed(std::string_view record);  // in the version that is written now
   static constexpr std::size_t kFrame = 8;
@@ -50,8 +67,27 @@
   enum class Version : std::uint8_t { first = 1, second = 2 };
   static std::uint32_t sumOf(Version version, std::string_view bytes);
   static void frame(std::string& to, Version version, std::string_view record);
-  bool writeWhole(std::string_view bytes);
-  bool writeAll(int fd, std::string_view bytes);
+  // One write that is under way: it owns all that its thread touches.
+  struct Flight {
+    int fd{-1};
+    std::size_t size{0};  // of the file, as it grows
+    std::string bytes;
+    std::vector<std::size_t> ends;
+    int beside{-1};
+    std::string besideBytes;
+    bool takes{false};
+    std::string path;
+    // What became of it.
+    std::vector<std::size_t> lost;
+    bool besideGood{true};
+    double spent{0};
+    std::exception_ptr problem{};
+
+    void write();
+    bool writeWhole(std::string_view part);
+    bool writeAll(int to, std::string_view part);
+  };
+  bool takeNow();
 
   std::string path_;
   std::size_t most_;
@@ -61,8 +97,13 @@
   std::vector<std::size_t> ends_;  // of each in the buffer
   int beside_{-1};
   std::size_t besideSize_{0};
+  std::string besideOut_;  // for the next begin, where a thread writes
+  bool takes_{false};
+  bool besideLost_{false};
   double writing_{0};
   Version version_{Version::second};
+  std::shared_ptr<Flight> flight_;
+  std::unique_ptr<Writer> writer_;
 };
 
 }  // namespace stonewing::net
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t kManyAnswers = 16;
 constexpr Millis kSlowTurn = 100;  // a quarter of what a client waits
 constexpr Millis kSlowTold = 5000;
+constexpr Millis kWriteWait = 5;          // a write that is done within it costs no turn of its own
 constexpr std::size_t kSocketsKept = 32;  // for the journal, discovery, the platform, the log and the loop
 
 const char* nameOf(int state) {
@@ -66,6 +67,12 @@
     orders.sockets = limits.value("sockets", std::size_t{1024});
     orders.diskBytes = static_cast<std::size_t>(limits.value("disk_mb", 3.0) * kBytesPerMegabyte);
     orders.memoryBytes = static_cast<std::size_t>(limits.value("memory_mb", 128.0) * kBytesPerMegabyte);
+    const json journal = file.value("journal", json::object());
+    if (!journal.is_object()) throw Malformed("'journal' must be an object, such as {\"writer\": \"aside\"}");
+    std::string writer = journal.value("writer", "loop");
+    if (writer != "loop" && writer != "aside")
+      throw Malformed("'journal.writer' is '" + writer + "'; it must be \"loop\" or \"aside\"");
+    orders.writesAside = writer == "aside";
     if (!file.contains("settings")) throw Malformed("the configuration lacks 'settings'");
     orders.settings = file["settings"].dump();
     if (file.contains("known")) orders.known = file["known"].dump();
@@ -121,6 +128,23 @@
   int fd_;
 };
 
+// Wakes the loop when a write of the journal that it did not wait for is done.
+class Dispatcher::Landing : public Source {
+ public:
+  Landing(Loop& loop, int fd) : loop_(loop), fd_(fd) {
+    if (!loop_.watch(fd_, *this)) throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  }
+  ~Landing() override { loop_.forget(fd_); }
+  void ready(std::uint32_t) override {
+    std::uint64_t times = 0;
+    (void)!::read(fd_, &times, sizeof times);
+  }
+
+ private:
+  Loop& loop_;
+  int fd_;
+};
+
 namespace {
 
 AdmissionTerms admissionTerms(const DeploymentTerms& terms) {
@@ -143,7 +167,7 @@
       facts_(readHostFacts(orders.settings)),
       rules_(terms_, orders.seed),
       admission_(admissionTerms(terms_), orders.seed + 1),
-      book_(facts_, orders.state, orders.diskBytes),
+      book_(facts_, orders.state, orders.diskBytes, orders.writesAside),
       catalog_(loop_, rules_, facts_, needAddress(orders.discovery, "discovery"), orders.discovery),
       calls_(loop_, rules_, book_, catalog_, terms_, facts_, orders.sockets / 4),
       notices_(loop_, book_, needAddress(orders.discovery, "discovery"), orders.discovery),
@@ -152,6 +176,7 @@
               [this](const auto& words, bool left) { return answer(words, left); }),
       signals_(std::make_unique<Signals>(loop_, endWanted_, rereadWanted_)) {
   needAddress(orders.listen, "listen");
+  if (book_.descriptor() >= 0) landing_ = std::make_unique<Landing>(loop_, book_.descriptor());
 }
 
 Dispatcher::~Dispatcher() = default;
@@ -207,11 +232,12 @@
     intake_.tick();
     move();
     // Many answers do not wait for the decisions; a few share one write of the journal with their launches.
-    if (intake_.waiting() >= kManyAnswers) keep();
-    if (state_ < State::waiting) decide();
+    if (intake_.waiting() >= kManyAnswers || book_.under()) keep();
+    // What is decided while a write hangs could not be acted on, and would be decided on what is old by then.
+    if (state_ < State::waiting && !book_.under()) decide();
     keep();
     Millis decided = steadyNow();
-    notices_.tick();
+    if (!book_.under()) notices_.tick();
     for (; overBefore_ < book_.overSoFar(); ++overBefore_) admission_.ended(loop_.now());
     Millis before = std::exchange(worked, ownWork());
     admission_.turnEnded(loop_.now(), worked - before);
@@ -284,8 +310,10 @@
 }
 
 Millis Dispatcher::due() const {
-  Millis due = std::min({calls_.due(), catalog_.due(), notices_.due(), intake_.due()});
-  if (wakeAt_ >= 0 && state_ < State::waiting) due = std::min(due, wakeAt_);
+  Millis due = std::min({calls_.due(), catalog_.due(), intake_.due()});
+  if (!book_.under()) due = std::min(due, notices_.due());
+  if (hangsSince_ >= 0 && !hangTold_) due = std::min(due, hangsSince_ + kSlowTurn);
+  if (wakeAt_ >= 0 && state_ < State::waiting && !book_.under()) due = std::min(due, wakeAt_);
   if (state_ == State::leaving) due = std::min(due, toldToEnd_ + kAcceptFor);
   if (state_ == State::finishing) due = std::min(due, toldToEnd_ + kLaunchFor);
   if (state_ == State::waiting) due = std::min(due, toldToEnd_ + kAnswersFor);
@@ -318,7 +346,8 @@
   // Refused unseen, which is harmless: out of places, on the way out, or the client has not waited for us and
   // hands it in elsewhere; taken on too, it would be delivered for nothing.
   if (left || state_ > State::leaving) return {"-BUSY\r\n"};
-  AdmissionFacts facts{loop_.now(), rules_.state().held, book_.full()};
+  AdmissionFacts facts{loop_.now(), rules_.state().held, book_.full(),
+                       hangsSince_ < 0 ? 0 : loop_.now() - hangsSince_};
   AdmissionCall call =
       admission_.asked(facts, terms_.types.at(held.type.value).gain, rules_.overShare(held.tenant));
   if (!call.take) return {busy(call.wait)};
@@ -343,21 +372,48 @@
   calls_.flush();
 }
 
-// What changed is written, and only then acted on towards clients and endpoints.
+// What changed is written, and only then acted on towards clients and endpoints. Where a thread writes, a
+// folder that hangs keeps that waiting; the loop goes on with what needs no record.
 void Dispatcher::keep() {
-  book_.commit();
+  if (book_.under()) {
+    if (!book_.landed(0)) return hangs();
+    if (hangTold_) log::warn("journal.hung", {{"for_ms", loop_.now() - hangsSince_}});
+    hangTold_ = false;
+    hangsSince_ = -1;
+    if (book_.carried()) act();
+  }
+  do {
+    book_.begin();
+    if (!book_.landed(kWriteWait)) return hangs();
+  } while (book_.unwritten());
+  act();
+}
+
+void Dispatcher::act() {
   for (CallbackId id : book_.lostTakes()) {
     log::debug("callback.not_kept", {{"callback", id.value}});
     rules_.clientGone(id);  // its launch, if there is one, is not sent either
   }
   calls_.send();
-  intake_.send([this](CallbackId id) -> std::optional<std::string> {
-    if (!book_.lostTake(id)) return std::nullopt;
-    return busy(admission_.refusal(loop_.now()));
-  });
+  intake_.send([this](CallbackId id) { return book_.decided(id); },
+               [this](CallbackId id) -> std::optional<std::string> {
+                 if (!book_.lostTake(id)) return std::nullopt;
+                 return busy(admission_.refusal(loop_.now()));
+               });
   book_.forgetLost();
 }
 
+// A write is under way for long: refusals and errors need no record, and go out.
+void Dispatcher::hangs() {
+  if (hangsSince_ < 0) hangsSince_ = loop_.now();
+  if (!hangTold_ && loop_.now() >= hangsSince_ + kSlowTurn) {
+    hangTold_ = true;
+    log::warn("journal.hangs", {{"for_ms", loop_.now() - hangsSince_}, {"held", book_.held().size()}});
+  }
+  intake_.send([this](CallbackId id) { return book_.decided(id) && !book_.lostTake(id); },
+               [](CallbackId) { return std::nullopt; });
+}
+
 void Dispatcher::ended(CallbackId id, const char* result, Millis wait) {
   const Held* held = book_.find(id);
   if (held == nullptr) return;
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -29,7 +29,8 @@
   std::size_t diskBytes{};
   std::size_t memoryBytes{};
   std::string settings;
-  std::string known;  // a list of endpoints, in discovery's form
+  std::string known;        // a list of endpoints, in discovery's form
+  bool writesAside{false};  // a thread of its own writes the journal
 };
 
 // Reads the start file; `get` gives the variables of the environment, empty for none. Throws Malformed.
@@ -58,6 +59,7 @@
     ended,
   };
   class Signals;
+  class Landing;
 
   void enter(State state);
   void restore();
@@ -70,6 +72,8 @@
   void tellSlow(Millis dispatched, Millis decided, Millis whole);
   void decide();
   void keep();
+  void act();
+  void hangs();
   void ended(CallbackId id, const char* result, Millis wait);
   void carryOut(const Decision& decision);
   Millis due() const;
@@ -95,6 +99,9 @@
   Notices notices_;
   Intake intake_;
   std::unique_ptr<Signals> signals_;
+  std::unique_ptr<Landing> landing_;  // where a thread writes the journal
+  Millis hangsSince_{-1};             // the write under way was begun then; -1 for none that took long
+  bool hangTold_{false};
 };
 
 }  // namespace stonewing::net
--- a/src/rules.h
+++ b/src/rules.h
@@ -27,6 +27,10 @@
   void goesOutOn(CallbackId id, int launch, Millis idle) {
     if (Callback* c = s_.find(id)) c->launches.at(static_cast<std::size_t>(launch)).idle = idle;
   }
+  // Its bytes, kept back since it was decided, go out now.
+  void goesOutNow(CallbackId id, int launch) {
+    if (Callback* c = s_.find(id)) c->launches.at(static_cast<std::size_t>(launch)).sent = s_.now;
+  }
   void answerStarted(CallbackId id, int launch);
   // limit: what the endpoint reports of its limit, in calls a second; 0 where it reports none.
   void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
