--- a/src/core/state.h
+++ b/src/core/state.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/terms.h"
 #include "index/waiting.h"
+#include "rooms/rooms.h"
 
 namespace stonewing {
 
@@ -29,6 +30,7 @@
   bool out{true};
   bool neverRan{false};
   bool withdrawn{false};
+  bool stranger{false};  // in another room than its destination's best
 };
 
 struct Callback {
@@ -146,6 +148,7 @@
 
 // Endpoints in their fixed order, and all calls out, also those at endpoints that drain.
 struct Destination {
+  DestinationId id{};
   std::vector<Endpoint*> ranking;
   int taken{0};
   int callsOut{0};
@@ -171,6 +174,8 @@
 
 // The nodes of its maps stay where they are: launches, endpoints and callbacks point at them.
 struct InstanceState {
+  explicit InstanceState(Rooms asked) : rooms(std::move(asked)) {}
+  Rooms rooms;
   Millis now{0};
   Millis began{-1};
   int round{0};
@@ -201,6 +206,20 @@
   std::set<EndpointId> listing;
   Samples samples;
 
+  // A callback is held from now on.
+  Callback& take(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
+                 Millis outerLimit) {
+    Callback& c = callbacks[id] = Callback{};
+    c.type = type;
+    c.tenant = tenant;
+    c.key = key;
+    c.destination = &destinations[destination];
+    c.destination->id = destination;
+    c.outerLimit = outerLimit;
+    ++held;
+    ++c.destination->taken;
+    return c;
+  }
   Callback* find(CallbackId id) {
     auto at = callbacks.find(id);
     return at == callbacks.end() ? nullptr : &at->second;
@@ -230,6 +249,26 @@
     e.failures = failures;
     e.failedAt = now;
     trials.insert(e.id);
+    rooms.fails(now, e.id, e.destination->id, e.zone, failures);
+  }
+  // Something was delivered there, or a probe answered.
+  void works(Endpoint& e, bool delivered) {
+    e.works();
+    rooms.works(now, e.id, e.zone, delivered);
+  }
+  // A call of its own begins at an endpoint, for this round.
+  void openCall(Endpoint& e) {
+    if (e.launchedAt >= 0) e.gap = now - e.launchedAt;
+    e.launchedAt = now;
+    ++callsMade;
+    e.batchRound = round;
+    e.batchSize = 1;
+    e.batchCall = nextCall++;
+    calls[e.batchCall].endpoint = &e;
+    ++e.callsOut;
+    ++e.destination->callsOut;
+    ++e.path->callsOut;
+    ++slotsUsed;
   }
   // Puts a callback where it now belongs; to be called after each change of its launches, and when it is
   // over.
@@ -245,6 +284,7 @@
     if (c.over) outerLimits.erase({c.outerLimit, id});
     if (wanted == c.waits) return;
     Waiting& waiting = c.destination->waiting;
+    rooms.waits(c.destination->id, wanted.has_value() - c.waits.has_value());
     if (c.waits) waiting.remove(*c.waits, c.outerLimit, id);
     if (wanted) waiting.add(*wanted, c.outerLimit, id);
     c.waits = wanted;
@@ -266,8 +306,9 @@
     callbacks.erase(id);
   }
   // A call is over, and its slot free, with the last outcome in it.
-  void releaseCall(int call) {
-    auto at = calls.find(call);
+  void releaseCall(const Launch& launch) {
+    rooms.ended(launch.stranger);
+    auto at = calls.find(launch.call);
     if (at == calls.end() || --at->second.open > 0) return;
     Endpoint& e = *at->second.endpoint;
     --e.callsOut;
--- a/src/core/terms.h
+++ b/src/core/terms.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "core/ids.h"
@@ -38,6 +39,19 @@
   int perCall{1};
 };
 
+// What an operator states of rooms; they are the zones of the list.
+struct RoomTerms {
+  // Best first; rooms of one tier are alike. Empty: none are named, and nothing here ever binds.
+  using Tiers = std::vector<std::vector<ZoneId>>;
+  Tiers tiers;
+  std::map<DestinationId, Tiers> destinations;  // in place of the above, for these
+  double spillShare{0.5};    // of what the better of the two rooms completed here, for strangers in a room
+  double spillSlots{0.5};    // of the slots, for strangers everywhere
+  double spillPerSecond{0};  // launches of strangers into one room; 0: no such bound
+  Millis climb{20000};       // until a room that returned is fed in full
+  double climbFrom{0.1};     // share of what it did before that it is fed at once
+};
+
 // What a deployment states at the start of an instance.
 struct DeploymentTerms {
   std::vector<TrafficType> types;
@@ -64,6 +78,13 @@
   double fallMultiple{1};
   Millis fallSpan{};
   Millis orderPause{};
+  RoomTerms rooms;
+
+  Millis longestPromise() const {
+    Millis longest = 0;
+    for (const TrafficType& t : types) longest = std::max(longest, t.promised);
+    return longest;
+  }
 };
 
 }  // namespace stonewing
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -70,7 +70,10 @@
 }  // namespace
 
 Rules::Rules(DeploymentTerms terms, std::uint64_t seed)
-    : terms_(std::move(terms)), chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {
+    : terms_(std::move(terms)),
+      chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
+      s_(Rooms(terms_.rooms, terms_.zone, terms_.slots, terms_.fallSpan, terms_.longestPromise(),
+               mix(seed))) {
   s_.idleTrusted = terms_.connectionIdle;
   for (double quota : terms_.tenantQuotaPerSecond) {
     s_.tenants.push_back({std::max(1.0, kTenantBurst * quota / terms_.instances)});
@@ -94,6 +97,7 @@
   Endpoint& e = s_.endpoints[id];
   e.id = id;
   e.destination = &s_.destinations[destination];
+  e.destination->id = destination;
   e.kind = kind;
   e.zone = zone;
   e.weight = weight;
@@ -110,16 +114,19 @@
   quietUntil_ = -1;
   for (auto& [destination, d] : s_.destinations) d.ranking.clear();
   for (auto& [id, p] : s_.paths) p.endpoints.clear();
+  s_.rooms.listBegins();
   for (auto& [id, e] : s_.endpoints) {
     if (whole && !s_.listing.contains(id)) e.phase = Phase::gone;
     if (e.phase != Phase::ready) continue;
     e.path->endpoints.push_back(&e);
     e.destination->ranking.push_back(&e);
+    s_.rooms.listed(id, e.destination->id, e.zone);
     if (e.path->outage || e.failures > 0) s_.trials.insert(id);
   }
+  s_.rooms.listEnds(s_.now);
   // Fixed for each destination; the own zone goes first, since crossing zones takes time and is priced.
   auto place = [&](const Endpoint* e) {
-    return std::tuple(e->zone != terms_.zone, mix(e->id.value ^ mix(terms_.me)), e->id);
+    return std::tuple(s_.rooms.tier(e->destination->id, e->zone), mix(e->id.value ^ mix(terms_.me)), e->id);
   };
   for (auto& [destination, d] : s_.destinations) {
     std::sort(d.ranking.begin(), d.ranking.end(),
@@ -131,14 +138,7 @@
 void Rules::taken(CallbackId id, TrafficTypeId type, TenantId tenant, KeyId key, DestinationId destination,
                   Millis outerLimit) {
   if (type.value >= terms_.types.size()) throw std::out_of_range("a callback of an unknown traffic type");
-  Callback& c = s_.callbacks[id] = Callback{.type = type,
-                                            .tenant = tenant,
-                                            .key = key,
-                                            .destination = &s_.destinations[destination],
-                                            .outerLimit = outerLimit,
-                                            .launches = {}};
-  ++s_.held;
-  ++c.destination->taken;
+  Callback& c = s_.take(id, type, tenant, key, destination, outerLimit);
   if (tenant.value < s_.tenants.size()) {
     Tenant& t = s_.tenants[tenant.value];
     // Dispatchers carry unlike loads: our part of a quota is an even one, or what came here so far.
@@ -164,11 +164,6 @@
   s_.place(id, c);
 }
 
-void Rules::answerStarted(CallbackId id, int launch) {
-  Callback* c = s_.find(id);
-  if (c != nullptr && launch < static_cast<int>(c->launches.size())) c->started = true;
-}
-
 void Rules::launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool isOver, Millis wait,
                         double limit) {
   Callback* c = s_.find(id);
@@ -179,7 +174,7 @@
   l.out = c->started = false;
   quietUntil_ = -1;
   l.neverRan = ending == Ending::full || ending == Ending::connectFailed || ending == Ending::notSent;
-  s_.releaseCall(l.call);
+  s_.releaseCall(l);
   e.usedAt = s_.now;
   Millis leastTrust = kTrustLeast * terms_.connectionIdle;  // connections also break that were hardly idle
   if (ending == Ending::connectFailed && p.okAt > s_.now - terms_.coldSpan) {
@@ -227,11 +222,6 @@
   return at;
 }
 
-void Rules::clientGone(CallbackId id) { over(id); }
-
-// Also when it comes a rounding early: then what is due is asked for again.
-void Rules::woken() { s_.wakeAsked = -1; }
-
 // The callback is finished: launches still out are losers, to be withdrawn.
 CallbackId Rules::over(CallbackId id) {
   Callback* c = s_.find(id);
@@ -325,7 +315,7 @@
   addSample(p.samples, spent);
   addSample(s_.samples, spent);
   s_.patience += kPatienceGrowth * (1 - s_.patience);
-  e.works();
+  s_.works(e, true);
   e.okAt = s_.now;
   if (!p.cold) {
     p.okCount = 1 + p.okCount * std::exp(-(s_.now - p.okCounted) / terms_.coldSpan);
@@ -378,7 +368,7 @@
   } else {
     if (p.outage) returned(p);
     if (!at->second.silent) p.okAt = s_.now;  // one hung: what is out there tells no more of the path
-    at->second.works();
+    s_.works(at->second, false);
   }
 }
 
@@ -434,6 +424,12 @@
   return s_.now >= p.nextPush;
 }
 
+// A lost room gets nothing, one that returns is fed along its curve, and strangers keep to their part of a
+// room. What cannot go anywhere waits; how long that will be is not known, so it is asked again before long.
+bool Rules::roomOpen(const Endpoint& e) {
+  return reached(std::min(s_.rooms.launchFrom(e.destination->id, e.zone), s_.now + terms_.fallSpan));
+}
+
 double Rules::gainAt(const Callback& c, Millis at) const {
   const TrafficType& t = type(c);
   if (at > c.outerLimit) return 0;
@@ -517,7 +513,7 @@
 // First in rank, the next when that one has enough: its part of the window, or failures while others work.
 Endpoint* Rules::choose(const Callback& c, bool copy) {
   Endpoint* best = nullptr;
-  std::tuple<bool, bool, int> bestPlace;
+  std::tuple<bool, bool, bool, int> bestPlace;
   for (Endpoint* to : c.destination->ranking) {
     Endpoint& e = *to;
     Path& p = *e.path;
@@ -525,11 +521,12 @@
                             [&](const Launch& l) { return l.endpoint == to && (copy || l.out); });
     if (used || !repeatAllowed(c, &e)) continue;
     if (copy && (p.outage || p.cold || p.refusals > 0 || p.window < p.callsOut + 2 || avoided(e))) continue;
-    if (!joins(e) && (!pathOpen(p) || !room(p, e))) continue;
+    if (!roomOpen(e) || (!joins(e) && (!pathOpen(p) || !room(p, e)))) continue;
     int enough = std::max(
         1, static_cast<int>(std::ceil(p.window / static_cast<double>(c.destination->ranking.size()))));
     bool has = !joins(e) && e.callsOut >= enough;
-    auto place = std::tuple(avoided(e), has, has ? e.callsOut : 0);
+    auto place =
+        std::tuple(avoided(e), s_.rooms.stranger(c.destination->id, e.zone), has, has ? e.callsOut : 0);
     if (best == nullptr || place < bestPlace) {
       best = to;
       bestPlace = place;
@@ -546,17 +543,7 @@
     ++e.batchSize;
     if (p.outage || p.cold) p.nextPush += kFurtherWeight * coldSpacing(p);
   } else {
-    if (e.launchedAt >= 0) e.gap = s_.now - e.launchedAt;
-    e.launchedAt = s_.now;
-    ++s_.callsMade;
-    e.batchRound = s_.round;
-    e.batchSize = 1;
-    e.batchCall = s_.nextCall++;
-    s_.calls[e.batchCall].endpoint = &e;
-    ++e.callsOut;
-    ++e.destination->callsOut;
-    ++p.callsOut;
-    ++s_.slotsUsed;
+    s_.openCall(e);
     pushed(p);
     if (p.refusals > 0) p.pauseUntil = std::max(p.pauseUntil, s_.now + pause(p));
     // Calls of several fill while they keep to our part of a told limit; one by one they would use it up.
@@ -576,7 +563,13 @@
     span = std::min(span, std::max(type(c).promised, kStuck * usual(p, type(c)).p95));
   }
   c.copied = c.copied || copy;
-  c.launches.push_back({.endpoint = &e, .sent = s_.now, .idle = idle, .call = e.batchCall, .copy = copy});
+  bool stranger = s_.rooms.launched(s_.now, e.destination->id, e.zone);
+  c.launches.push_back({.endpoint = &e,
+                        .sent = s_.now,
+                        .idle = idle,
+                        .call = e.batchCall,
+                        .copy = copy,
+                        .stranger = stranger});
   s_.place(id, c);
   reached(s_.now + silenceOf(c, p));
   asked_.launched = s_.round;
@@ -635,14 +628,17 @@
 // Beyond the most that may be held the front turns callbacks away unseen: make room by what is worth least.
 // In a line the oldest has the least left.
 std::optional<Decision> Rules::makeRoom() {
-  if (s_.held <= std::max(1, static_cast<int>(terms_.heldMost * (1 - kRoomKept)))) return std::nullopt;
+  bool full = s_.held > std::max(1, static_cast<int>(terms_.heldMost * (1 - kRoomKept)));
+  if (!full && !s_.rooms.named()) return std::nullopt;
   std::optional<CallbackId> least;
   double leastGain = 0;
   Millis away = 0;
   for (const Destination* d : s_.waitedFor) {
+    if (!full && !s_.rooms.overfull(d->id)) continue;
     const Path* p = d->ranking.empty() ? nullptr : d->ranking.front()->path;
     Millis opens =
         p == nullptr ? s_.now : std::max({s_.now, p->waitUntil, p->outage ? s_.now + terms_.coldSpan : 0});
+    opens = std::max(opens, s_.now + s_.rooms.backlog(d->id));
     for (const auto& [kind, line] : d->waiting.lines()) {
       bool alike = !kind.launched || terms_.types[kind.type.value].effect == Effect::pure;
       for (const auto& [limit, id] : line) {
@@ -816,7 +812,8 @@
     if (e.phase != Phase::ready || (!p.outage && e.failures < kFailuresToAvoid)) continue;
     bool turn = p.outage && p.endpoints[p.trialTurn % p.endpoints.size()] == &e;
     if (p.probeOut || (!turn && p.outage)) continue;  // looked at again when the probe has ended
-    Millis due = std::max({p.outage || p.cold ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil});
+    Millis due = std::max({p.outage || p.cold ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil,
+                           s_.rooms.probeFrom(e.zone)});
     if (!reached(due)) {
       s_.trialsDue.insert({due, id});
       continue;
@@ -824,6 +821,7 @@
     if (p.outage) ++p.trialTurn;
     p.probeOut = true;
     pushed(p);
+    s_.rooms.probed(s_.now, e.zone);
     return Decision{Act::probe, {}, id, 0, 0};
   }
   return std::nullopt;
--- a/src/rules.h
+++ b/src/rules.h
@@ -31,13 +31,17 @@
   void goesOutNow(CallbackId id, int launch) {
     if (Callback* c = s_.find(id)) c->launches.at(static_cast<std::size_t>(launch)).sent = s_.now;
   }
-  void answerStarted(CallbackId id, int launch);
+  void answerStarted(CallbackId id, int launch) {
+    Callback* c = s_.find(id);
+    if (c != nullptr && launch < static_cast<int>(c->launches.size())) c->started = true;
+  }
   // limit: what the endpoint reports of its limit, in calls a second; 0 where it reports none.
   void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
                    double limit);
   void probeEnded(EndpointId id, Ending ending, double limit);
-  void clientGone(CallbackId id);
-  void woken();
+  void clientGone(CallbackId id) { over(id); }
+  // Also when it comes a rounding early: then what is due is asked for again.
+  void woken() { s_.wakeAsked = -1; }
   std::optional<Decision> next();
   // Whether a tenant is above its share here, as far as its last callback told.
   bool overShare(TenantId tenant) const {
@@ -76,6 +80,7 @@
   bool avoided(const Endpoint& e);
   Millis restEnds(const Endpoint& e) const;
   bool pathOpen(Path& p);
+  bool roomOpen(const Endpoint& e);
   int perCall(const Endpoint& e) const;
   bool joins(const Endpoint& e);
   bool room(const Path& p, const Endpoint& e);
