--- a/src/core/facts.cpp
+++ b/src/core/facts.cpp
@@ -1,5 +1,7 @@
 #include "core/facts.h"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -126,6 +128,95 @@
   return terms;
 }
 
+namespace {
+
+std::string listed(const std::vector<std::string>& words) {
+  std::string text;
+  for (const std::string& word : words) text += (text.empty() ? "" : ", ") + word;
+  return text;
+}
+
+RoomTerms::Tiers readTiers(const json& rows, const std::vector<std::string>& zones, const std::string& key) {
+  RoomTerms::Tiers tiers;
+  std::vector<ZoneId> seen;
+  if (!rows.is_array() || rows.empty()) {
+    throw Malformed("'" + key +
+                    "' must be a list of tiers, best first, each a list of rooms: [[\"a\"], [\"b\", \"c\"]]");
+  }
+  for (const json& row : rows) {
+    if (!row.is_array() || row.empty())
+      throw Malformed("each tier of '" + key + "' must be a list of rooms: [\"a\"]");
+    tiers.emplace_back();
+    for (const json& name : row) {
+      auto at =
+          name.is_string() ? std::find(zones.begin(), zones.end(), name.get<std::string>()) : zones.end();
+      if (at == zones.end()) {
+        throw Malformed("'" + key + "' names " + name.dump() + ", which is no room; the rooms are " +
+                        listed(zones));
+      }
+      ZoneId zone{static_cast<std::uint8_t>(at - zones.begin())};
+      if (std::find(seen.begin(), seen.end(), zone) != seen.end()) {
+        throw Malformed("'" + key + "' names " + name.dump() + " twice; a room stands in one tier");
+      }
+      seen.push_back(zone);
+      tiers.back().push_back(zone);
+    }
+  }
+  return tiers;
+}
+
+// Every key of an object that is known; another one is named with those there are.
+void onlyKeys(const json& object, const std::string& name, const std::vector<std::string>& known) {
+  if (!object.is_object()) throw Malformed("'" + name + "' must be an object with " + listed(known));
+  for (const auto& [key, value] : object.items()) {
+    if (std::find(known.begin(), known.end(), key) == known.end())
+      throw Malformed("'" + name + "." + key + "' is not known; there are " + listed(known));
+  }
+}
+
+double numberIn(const json& object, const std::string& name, const std::string& key, double otherwise,
+                double least, double most) {
+  if (!object.contains(key)) return otherwise;
+  const json& value = object[key];
+  if (!value.is_number() || value.get<double>() < least || value.get<double>() > most) {
+    throw Malformed("'" + name + "." + key + "' is " + value.dump() + "; it must be a number from " +
+                    json(least).dump() + " to " + json(most).dump());
+  }
+  return value.get<double>();
+}
+
+}  // namespace
+
+RoomTerms readRooms(std::string_view text, const std::vector<std::string>& zones) {
+  RoomTerms terms;
+  if (text.empty()) return terms;
+  const json rooms = json::parse(text, nullptr, false);
+  onlyKeys(rooms, "rooms", {"tiers", "destinations", "spill", "return"});
+  if (!rooms.contains("tiers")) throw Malformed("'rooms' needs 'tiers', such as [[\"a\"], [\"b\", \"c\"]]");
+  terms.tiers = readTiers(rooms["tiers"], zones, "rooms.tiers");
+  const json destinations = rooms.value("destinations", json::object());
+  if (!destinations.is_object())
+    throw Malformed("'rooms.destinations' must be an object: {\"7\": [[\"b\"], [\"a\"]]}");
+  for (const auto& [name, tiers] : destinations.items()) {
+    std::uint16_t number{};
+    auto [end, error] = std::from_chars(name.data(), name.data() + name.size(), number);
+    if (error != std::errc() || end != name.data() + name.size())
+      throw Malformed("'rooms.destinations' names \"" + name +
+                      "\"; a destination is a number from 0 to 65535");
+    terms.destinations[DestinationId{number}] = readTiers(tiers, zones, "rooms.destinations." + name);
+  }
+  const json spill = rooms.value("spill", json::object());
+  onlyKeys(spill, "rooms.spill", {"share", "slots", "per_s"});
+  terms.spillShare = numberIn(spill, "rooms.spill", "share", terms.spillShare, 0, 100);
+  terms.spillSlots = numberIn(spill, "rooms.spill", "slots", terms.spillSlots, 0, 1);
+  terms.spillPerSecond = numberIn(spill, "rooms.spill", "per_s", terms.spillPerSecond, 0, 1e6);
+  const json back = rooms.value("return", json::object());
+  onlyKeys(back, "rooms.return", {"climb_s", "from"});
+  terms.climb = numberIn(back, "rooms.return", "climb_s", 0, 0, 86400) * kMillisPerSecond;
+  terms.climbFrom = numberIn(back, "rooms.return", "from", 0, 0, 1);
+  return terms;
+}
+
 HostFacts readHostFacts(std::string_view text) {
   const json facts = parsed(text);
   HostFacts host;
--- a/src/core/facts.h
+++ b/src/core/facts.h
@@ -23,4 +23,8 @@
 };
 HostFacts readHostFacts(std::string_view text);
 
+// Reads what an operator states of rooms, by the names of the zones; empty text: nothing. Throws Malformed
+// naming the key, what is wrong and what would be right.
+RoomTerms readRooms(std::string_view text, const std::vector<std::string>& zones);
+
 }  // namespace stonewing
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -218,6 +218,7 @@
     c.outerLimit = outerLimit;
     ++held;
     ++c.destination->taken;
+    rooms.asked(now, destination);
     return c;
   }
   Callback* find(CallbackId id) {
--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -77,6 +77,7 @@
       case What::out:
       case What::back:
       case What::fell:
+      case What::roomFell:
         return false;
       default:
         return e.callback < trace_.callbacks.size();
@@ -253,6 +254,10 @@
       } else if (e.what == What::out || e.what == What::back || e.what == What::fell) {
         d = e.callback;
       } else {
+        if (e.what == What::roomFell) {
+          report(Rule::returns, e.callback,
+                 "room " + std::to_string(e.callback) + " was pushed over while cold", {n});
+        }
         continue;
       }
       bool bad = (e.what == What::replied && e.status != kOk) || e.what == What::abandoned ||
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -207,6 +207,18 @@
               {"disk_mb", plan.fleet.diskMegabytes}}},
             {"known", json::parse(known)},
             {"settings", settings}};
+  if (!terms.rooms.tiers.empty()) {
+    json tiers = json::array();
+    for (const auto& tier : terms.rooms.tiers) {
+      tiers.push_back(json::array());
+      for (ZoneId room : tier) tiers.back().push_back(plan.world.rooms[room.value]);
+    }
+    const RoomTerms& r = terms.rooms;
+    file["rooms"] = {
+        {"tiers", tiers},
+        {"spill", {{"share", r.spillShare}, {"slots", r.spillSlots}, {"per_s", r.spillPerSecond}}},
+        {"return", {{"climb_s", r.climb / kSecond}, {"from", r.climbFrom}}}};
+  }
   if (plan.fleet.writesAside) file["journal"] = {{"writer", "aside"}};
   return file.dump(1);
 }
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -260,6 +260,7 @@
   in.number("order_pause_s", w.orderPause, 0, 60, kMillisPerSecond);
   in.number("per_call", w.perCall, 1, 1000);
   in.flag("reports", w.reports);
+  in.flag("rooms_cold", w.roomsCold);
   in.done();
 }
 
@@ -301,6 +302,14 @@
   in.number("disk_mb", f.diskMegabytes, 0.1, 1e6);
   in.number("sockets", f.sockets, 64, 1e6);
   in.flag("writes_aside", f.writesAside);
+  static constexpr std::pair<const char*, TierShape> kShapes[] = {
+      {"none", TierShape::none}, {"near", TierShape::near}, {"ring", TierShape::ring}};
+  in.choice("tiers", f.tiers, kShapes);
+  in.number("spill_share", f.rooms.spillShare, 0, 100);
+  in.number("spill_slots", f.rooms.spillSlots, 0, 1);
+  in.number("spill_per_s", f.rooms.spillPerSecond, 0, 1e6);
+  in.number("climb_s", f.rooms.climb, 0.01, 3600, kMillisPerSecond);
+  in.number("climb_from", f.rooms.climbFrom, 0.001, 1);
   in.number("restart_s", f.restart, 0.05, 600, kMillisPerSecond);
   in.done();
 }
@@ -480,6 +489,15 @@
   t.fallMultiple = world.fallMultiple;
   t.fallSpan = world.fallSpan;
   t.orderPause = world.orderPause;
+  if (fleet.tiers == TierShape::none) return t;
+  t.rooms = fleet.rooms;
+  auto rooms = static_cast<int>(world.rooms.size());
+  for (int n = 0; n < rooms; ++n) {
+    ZoneId room{static_cast<std::uint8_t>((dispatcher + n) % rooms)};
+    bool joins = fleet.tiers == TierShape::near && n > 1;
+    if (!joins) t.rooms.tiers.emplace_back();
+    t.rooms.tiers.back().push_back(room);
+  }
   return t;
 }
 
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -45,8 +45,13 @@
   Millis orderPause{500};
   int perCall{1};
   bool reports{false};
+  bool roomsCold{false};  // a room that was out as a whole returns cold, and falls when it is pushed
 };
 
+// Tiers of rooms as a dispatcher is told of them: none; its own, then all others; its own, then the others in
+// turn.
+enum class TierShape { none, near, ring };
+
 enum class ArrivalShape { poisson, bursts, dusk };
 
 struct LoadPlan {
@@ -126,6 +131,8 @@
   double diskMegabytes{8};
   int sockets{512};
   Millis restart{600};
+  TierShape tiers{TierShape::none};
+  RoomTerms rooms;          // but for the tiers, which follow from that
   bool writesAside{false};  // a thread of its own writes the journal
 };
 
--- a/src/lab/town.cpp
+++ b/src/lab/town.cpp
@@ -22,7 +22,63 @@
       trace_(trace),
       chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
       endpoints_(static_cast<std::size_t>(plan.endpointCount())),
-      destinations_(static_cast<std::size_t>(plan.world.destinations)) {}
+      destinations_(static_cast<std::size_t>(plan.world.destinations)),
+      rooms_(plan.world.rooms.size()),
+      roomSizes_(plan.world.rooms.size()) {
+  for (int e = 0; e < plan.endpointCount(); ++e) ++roomSizes_[static_cast<std::size_t>(plan.roomOf(e))];
+}
+
+// A room is out while all its endpoints are.
+void Town::judgeRoom(Millis now, int number) {
+  if (!plan_.world.roomsCold) return;
+  Room& r = rooms_[static_cast<std::size_t>(number)];
+  bool out = true;
+  for (int e = 0; e < plan_.endpointCount() && out; ++e) {
+    out = plan_.roomOf(e) != number || down(now, static_cast<std::uint32_t>(e));
+  }
+  if (out == r.out) return;
+  r.out = out;
+  if (out) {
+    r.outSince = now;
+    return;
+  }
+  if (now - r.outSince > plan_.world.fallSpan) r.coldSince = now;
+  r.pushes.clear();
+  r.pushed = 0;
+}
+
+double Town::roomWarmth(Millis now, std::uint32_t endpoint) {
+  if (!plan_.world.roomsCold) return 1;
+  double along = std::clamp((now - roomAt(endpoint).coldSince) / plan_.world.coldSpan, 0.0, 1.0);
+  return plan_.world.coldFrom + (1 - plan_.world.coldFrom) * along;
+}
+
+// What reaches a room, probes too. A cold one falls as a whole when it is pushed too hard, and is cold again
+// after.
+bool Town::pushRoom(Millis now, std::uint32_t endpoint, double weight) {
+  if (!plan_.world.roomsCold) return true;
+  Room& r = roomAt(endpoint);
+  if (r.out || now < r.fallenUntil) return r.out;
+  r.pushes.emplace_back(now, weight);
+  r.pushed += weight;
+  while (r.pushes.front().first <= now - plan_.world.fallSpan) {
+    r.pushed -= r.pushes.front().second;
+    r.pushes.pop_front();
+  }
+  if (now >= r.coldSince + plan_.world.coldSpan) return true;
+  int number = plan_.roomOf(static_cast<int>(endpoint));
+  double whole =
+      plan_.world.parallel * roomSizes_[static_cast<std::size_t>(number)] / meanOf(plan_.world.service);
+  double budget =
+      plan_.world.fallMultiple * whole * roomWarmth(now, endpoint) * plan_.world.fallSpan + kChanceSlack;
+  if (r.pushed <= budget) return true;
+  trace_.events.push_back(
+      {.at = now, .what = What::roomFell, .callback = static_cast<std::uint32_t>(number)});
+  r.fallenUntil = r.coldSince = now + plan_.world.coldSpan;
+  r.pushes.clear();
+  r.pushed = 0;
+  return false;
+}
 
 // What the troubles that are on make of an endpoint together.
 void Town::settle(Endpoint& e) {
@@ -100,6 +156,7 @@
     }
     judge(now, plan_.destinationOf(n));
   }
+  for (std::size_t room = 0; room < rooms_.size(); ++room) judgeRoom(now, static_cast<int>(room));
   return ended;
 }
 
@@ -198,8 +255,11 @@
                              .dispatcher = dispatcher});
   }
   Destination& d = destinationOf(id);
-  bool stands = push(now, id, 1 + kFurtherWeight * (static_cast<double>(callbacks.size()) - 1));
-  if (!stands || now < d.fallenUntil) return Reply{call, id, Said::turnedAway, 0, false};
+  double weight = 1 + kFurtherWeight * (static_cast<double>(callbacks.size()) - 1);
+  bool stands = push(now, id, weight);
+  stands = pushRoom(now, id, weight) && stands;
+  if (!stands || now < d.fallenUntil || now < roomAt(id).fallenUntil)
+    return Reply{call, id, Said::turnedAway, 0, false};
   if (e.condition.shut > 0) return Reply{call, id, Said::turnedAway, kShutWait, false};
   if (plan_.world.limitPerSecond > 0) {
     auto span = static_cast<std::int64_t>(now / plan_.world.limitSpan);
@@ -270,7 +330,8 @@
     roll -= share;
   }
   if (c.silent > 0) said = Said::silence;
-  Millis service = drawn(plan_.world.service, chance_) * c.slow / warmth(now, destinationOf(id));
+  Millis service =
+      drawn(plan_.world.service, chance_) * c.slow / (warmth(now, destinationOf(id)) * roomWarmth(now, id));
   e.running.push_back({call.call, now + std::max(kFastError, service), said});
 }
 
@@ -318,9 +379,12 @@
 
 int Town::probed(Millis now, std::uint32_t id, std::uint16_t dispatcher) {
   bool stands = push(now, id, 1);
+  stands = pushRoom(now, id, 1) && stands;
   const Condition& c = at(id).condition;
   int status = c.vanished > 0 || c.silent > 0 || c.paused > 0 ? 0 : 200;
-  if (!stands || c.shut > 0 || c.errors >= kOutShare || now < destinationOf(id).fallenUntil) status = 503;
+  if (!stands || c.shut > 0 || c.errors >= kOutShare || now < destinationOf(id).fallenUntil ||
+      now < roomAt(id).fallenUntil)
+    status = 503;
   trace_.events.push_back({.at = now,
                            .what = What::probed,
                            .endpoint = id,
--- a/src/lab/town.h
+++ b/src/lab/town.h
@@ -118,6 +118,20 @@
   const Destination& destinationOf(std::uint32_t e) const {
     return destinations_[e / static_cast<std::uint32_t>(plan_.world.endpoints)];
   }
+  struct Room {
+    bool out{false};
+    Millis outSince{0};
+    Millis coldSince{-1e15};
+    Millis fallenUntil{-1};
+    std::deque<std::pair<Millis, double>> pushes;
+    double pushed{0};
+  };
+  Room& roomAt(std::uint32_t e) {
+    return rooms_[static_cast<std::size_t>(plan_.roomOf(static_cast<int>(e)))];
+  }
+  void judgeRoom(Millis now, int room);
+  bool pushRoom(Millis now, std::uint32_t endpoint, double weight);
+  double roomWarmth(Millis now, std::uint32_t endpoint);
   void settle(Endpoint& e);
   void judge(Millis now, int destination);
   double warmth(Millis now, const Destination& d) const;
@@ -132,6 +146,8 @@
   std::mt19937 chance_;
   std::vector<Endpoint> endpoints_;
   std::vector<Destination> destinations_;
+  std::vector<Room> rooms_;
+  std::vector<int> roomSizes_;
   std::unordered_map<std::uint64_t, Millis> receipts_;  // by key and group: when it first ran
 };
 
--- a/src/lab/trace.cpp
+++ b/src/lab/trace.cpp
@@ -28,7 +28,8 @@
                             "down",
                             "out",
                             "back",
-                            "fell"};
+                            "fell",
+                            "room-fell"};
 
 std::ofstream opened(const std::string& path) {
   std::ofstream out(path, std::ios::binary);
--- a/src/lab/trace.h
+++ b/src/lab/trace.h
@@ -29,6 +29,7 @@
   out,             // a destination fails most of its calls from now on; callback: its number
   back,            // it is back, and cold
   fell,            // it was pushed over
+  roomFell,        // a room was, as it returned; callback: its number
 };
 
 struct Event {
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -49,9 +49,24 @@
 
 }  // namespace
 
-Orders readOrders(std::string_view text, const std::function<std::string(const char*)>& get) {
+Orders readOrders(std::string_view text, const std::function<std::string(const char*)>& get,
+                  std::string_view operatorText) {
   json file = json::parse(text, nullptr, false);
   if (file.is_discarded() || !file.is_object()) throw Malformed("the configuration is not a JSON object");
+  if (!operatorText.empty()) {
+    json added;
+    try {
+      added = json::parse(operatorText, nullptr, true, true);  // comments are welcome there
+    } catch (const json::parse_error& problem) {
+      throw Malformed(std::string("the operator's file is not JSON: ") + problem.what());
+    }
+    if (!added.is_object()) throw Malformed("the operator's file must hold one JSON object");
+    for (const auto& [key, value] : added.items()) {
+      if (key != "journal" && key != "rooms")
+        throw Malformed("the operator's file has '" + key + "'; it may hold journal, rooms");
+      file[key] = value;
+    }
+  }
   Orders orders;
   try {
     auto either = [&](const char* key, const char* variable) {
@@ -77,6 +92,7 @@
     if (writer != "loop" && writer != "aside")
       throw Malformed("'journal.writer' is '" + writer + "'; it must be \"loop\" or \"aside\"");
     orders.writesAside = writer == "aside";
+    if (file.contains("rooms")) orders.rooms = file["rooms"].dump();
     if (!file.contains("settings")) throw Malformed("the configuration lacks 'settings'");
     orders.settings = file["settings"].dump();
     if (file.contains("known")) orders.known = file["known"].dump();
@@ -164,10 +180,16 @@
 
 }  // namespace
 
+DeploymentTerms termsOf(const Orders& orders) {
+  DeploymentTerms terms = readFacts(orders.settings);
+  terms.rooms = readRooms(orders.rooms, readHostFacts(orders.settings).zones);
+  return terms;
+}
+
 Dispatcher::Dispatcher(const Orders& orders, std::function<Orders()> reread)
     : orders_(orders),
       reread_(std::move(reread)),
-      terms_(readFacts(orders.settings)),
+      terms_(termsOf(orders)),
       facts_(readHostFacts(orders.settings)),
       rules_(terms_, orders.seed),
       admission_(admissionTerms(terms_), orders.seed + 1),
@@ -246,6 +268,7 @@
     for (; overBefore_ < book_.overSoFar(); ++overBefore_) admission_.ended(loop_.now());
     Millis before = std::exchange(worked_, ownWork());
     admission_.turnEnded(loop_.now(), worked_ - before);
+    tellRooms();
     tellSlow(dispatched - began, decided - dispatched, steadyNow() - began);
   }
 }
@@ -266,6 +289,23 @@
   return steadyNow() - began_ < kTurnNoticed ? 0 : ownWork() - worked_;
 }
 
+// What is believed of rooms, as it changes.
+void Dispatcher::tellRooms() {
+  const Rooms& rooms = rules_.state().rooms;
+  if (!rooms.named()) return;
+  roomsTold_.resize(facts_.zones.size());
+  for (std::size_t n = 0; n < roomsTold_.size(); ++n) {
+    ZoneId zone{static_cast<std::uint8_t>(n)};
+    int now = rooms.lost(zone) ? 1 : rooms.climbing(loop_.now(), zone) ? 2 : 0;
+    if (std::exchange(roomsTold_[n], now) == now) continue;
+    if (now == 1) log::warn("room.lost", {{"room", facts_.zones[n]}});
+    if (now == 2)
+      log::warn("room.returns",
+                {{"room", facts_.zones[n]}, {"fed_per_s", rooms.fedPerSecond(loop_.now(), zone)}});
+    if (now == 0) log::info("room.well", {{"room", facts_.zones[n]}});
+  }
+}
+
 // A turn that took too long is told with its parts, at once the first time and then every few seconds.
 void Dispatcher::tellSlow(Millis dispatched, Millis decided, Millis whole) {
   if (whole < kSlowTurn) return;
@@ -289,7 +329,8 @@
     Orders orders = reread_();
     sockaddr_in discovery = needAddress(orders.discovery, "discovery");
     if (orders.listen != orders_.listen || orders.state != orders_.state ||
-        orders.settings != orders_.settings) {
+        orders.settings != orders_.settings || orders.rooms != orders_.rooms ||
+        orders.writesAside != orders_.writesAside) {
       log::warn("configuration.partly_taken", {{"taken", "discovery"}, {"rest", "at the next start"}});
     }
     if (orders.discovery == orders_.discovery) return;
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -30,11 +30,17 @@
   std::size_t memoryBytes{};
   std::string settings;
   std::string known;        // a list of endpoints, in discovery's form
+  std::string rooms;        // what the operator says of rooms (docs/rooms.md); empty for nothing
   bool writesAside{false};  // a thread of its own writes the journal
 };
 
 // Reads the start file; `get` gives the variables of the environment, empty for none. Throws Malformed.
-Orders readOrders(std::string_view text, const std::function<std::string(const char*)>& get);
+// operatorText: what the operator adds; its keys go before the first text's. Empty for nothing.
+Orders readOrders(std::string_view text, const std::function<std::string(const char*)>& get,
+                  std::string_view operatorText = {});
+
+// What the deployment and the operator state together. Throws Malformed.
+DeploymentTerms termsOf(const Orders& orders);
 
 // Holds back the signals that a dispatcher takes as events, from now until there is one. A reload asked for
 // earlier would end the process.
@@ -70,6 +76,7 @@
   std::string busy(Millis wait);
   Millis ownWork() const;
   Millis workedThisTurn() const;
+  void tellRooms();
   void tellSlow(Millis dispatched, Millis decided, Millis whole);
   void decide();
   void keep();
@@ -105,7 +112,8 @@
   std::unique_ptr<Landing> landing_;  // where a thread writes the journal
   Millis hangsSince_{-1};             // the write under way was begun then; -1 for none that took long
   bool hangTold_{false};
-  bool moreToDecide_{false};  // the last turn's part of deciding was used up
+  std::vector<int> roomsTold_;  // of each room: 0 in order, 1 lost, 2 fed as it returns
+  bool moreToDecide_{false};    // the last turn's part of deciding was used up
 };
 
 }  // namespace stonewing::net
--- a/src/rooms/rooms.cpp
+++ b/src/rooms/rooms.cpp
@@ -8,24 +8,33 @@
 
 constexpr Millis kRateSpan = 10000;  // over which deliveries are counted
 constexpr int kFailures = 2;         // of an endpoint in a row that tell something of its room
+constexpr double kAskedShare =
+    0.5;  // of what we were asked to bring: surges and repeats of clients count in it
+constexpr Millis kAskedLeast = 1000;
 constexpr double kLostShare = 0.5;   // of a room's endpoints that fail, with nothing delivered there since
 constexpr std::size_t kLostFew = 3;  // or so many of them
 constexpr std::size_t kDestinations = 2;  // that they belong to: a dead destination is no dead room
 constexpr double kProbeSpans = 1;  // fall spans between two probes of a lost room, doubled by each loss
 constexpr double kLossPart = 0.5;  // of where the last climb began, after a further loss
 constexpr int kLossesMost = 4;
-constexpr double kLeastPerSecond = 2;  // of a room of which nothing is known: enough to learn from
+constexpr double kTogether =
+    2;  // launches in a fall span by all dispatchers into a room they know nothing of
+constexpr double kJitterLeast = 0.75;  // of a span; a half more at the most
 constexpr Millis kNever = 1e15;
 
 }  // namespace
 
-Rooms::Rooms(RoomTerms terms, ZoneId own, int slots, Millis fallSpan, Millis patience, std::uint64_t seed)
-    : terms_(std::move(terms)),
-      own_(own),
-      slots_(slots),
-      fallSpan_(std::max(1.0, fallSpan)),
-      patience_(patience),
-      chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {}
+Rooms::Rooms(const DeploymentTerms& terms, std::uint64_t seed)
+    : terms_(terms.rooms),
+      own_(terms.zone),
+      slots_(terms.slots),
+      fallSpan_(std::max(1.0, terms.fallSpan)),
+      patience_(terms.longestPromise()),
+      least_(kTogether / fallSpan_ * 1000 / terms.instances),
+      chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {
+  if (terms_.climb <= 0) terms_.climb = std::max(1.0, terms.coldSpan);
+  if (terms_.climbFrom <= 0) terms_.climbFrom = terms.coldFrom;
+}
 
 int Rooms::tier(DestinationId destination, ZoneId room) const {
   if (!named()) return room != own_;
@@ -75,6 +84,23 @@
 
 double Rooms::rate(const Room& r) const { return r.done / kRateSpan * 1000; }
 
+// Danger: a dispatcher that starts while a room is lost has delivered nothing there, and would shed all it is
+// given.
+double Rooms::whole(const Room& r) const {
+  double now = rate(r) + r.away / kRateSpan * 1000;
+  double asked = r.asked / std::clamp(r.askedAt - began_, kAskedLeast, kRateSpan) * 1000;
+  now = std::max(now, kAskedShare * asked);
+  return r.state == State::well ? now : std::max(r.before, now);
+}
+
+void Rooms::asked(Millis now, DestinationId destination) {
+  if (!named()) return;
+  if (began_ < 0) began_ = now;
+  Room& home = rooms_[homeOf(destination)];
+  home.asked = 1 + home.asked * std::exp(-(now - home.askedAt) / kRateSpan);
+  home.askedAt = now;
+}
+
 bool Rooms::launched(Millis now, DestinationId destination, ZoneId room) {
   Room& r = rooms_[room];
   if (climbing(now, room)) {
@@ -83,6 +109,9 @@
   }
   if (!stranger(destination, room)) return false;
   ++strangersOut_;
+  Room& home = rooms_[homeOf(destination)];
+  home.away = 1 + home.away * std::exp(-(now - home.awayAt) / kRateSpan);
+  home.awayAt = now;
   // A second's worth may go at once, as long as it was not used before.
   double perSecond = spillPerSecond(homeOf(destination), room);
   r.strangersFrom = std::max(r.strangersFrom, now - 1000) + 1000 / perSecond;
@@ -122,8 +151,7 @@
 
 void Rooms::probed(Millis now, ZoneId room) {
   Room& r = rooms_[room];
-  if (r.state == State::lost)
-    r.probeFrom = now + fallSpan_ * kProbeSpans * std::exp2(std::max(0, r.losses - 1)) * jitter();
+  if (r.state == State::lost) r.probeFrom = now + probePause(r) * jitter();
   if (climbing(now, room)) r.fedFrom = std::max(r.fedFrom, now) + 1000 / fedPerSecond(now, room) * jitter();
 }
 
@@ -146,11 +174,11 @@
 
 void Rooms::judge(Millis now, Room& r) {
   if (!named() || r.state == State::lost || !looksLost(r)) return;
-  if (r.state == State::well) r.before = std::max(rate(r), r.losses > 0 ? r.before : 0);
+  if (r.state == State::well) r.before = rate(r);
   r.state = State::lost;
   r.changedAt = now;
   r.losses = std::min(r.losses + 1, kLossesMost);
-  r.probeFrom = now + fallSpan_ * kProbeSpans * std::exp2(r.losses - 1) * jitter();
+  r.probeFrom = now + fallSpan_ * kProbeSpans * jitter() + probePause(r) * (jitter() - kJitterLeast);
 }
 
 // Something answers there again. It is cold, and all that was spilled would come home in one moment.
@@ -161,6 +189,13 @@
   r.failingSince = now;
 }
 
+// Danger: the probes of hundreds of dispatchers alone push a room over that has just come back. Each keeps to
+// its part of what the room takes when it is cold.
+Millis Rooms::probePause(const Room& r) {
+  Millis part = 1000 / std::max(least_, whole(r) * terms_.climbFrom);
+  return std::max(fallSpan_ * kProbeSpans, part) * std::exp2(std::max(0, r.losses - 1));
+}
+
 double Rooms::climbed(Millis now, const Room& r) const {
   double from = terms_.climbFrom * std::pow(kLossPart, std::max(0, r.losses - 1));
   double along = std::clamp((now - r.changedAt) / std::max(1.0, terms_.climb), 0.0, 1.0);
@@ -183,7 +218,7 @@
 
 double Rooms::fedPerSecond(Millis now, ZoneId room) const {
   const Room* r = find(room);
-  return r == nullptr ? kLeastPerSecond : std::max(kLeastPerSecond, r->before * climbed(now, *r));
+  return r == nullptr ? least_ : std::max(least_, whole(*r) * climbed(now, *r));
 }
 
 ZoneId Rooms::homeOf(DestinationId destination) const {
@@ -198,9 +233,9 @@
 double Rooms::spillPerSecond(ZoneId home, ZoneId room) const {
   auto did = [&](ZoneId id) {
     const Room* r = find(id);
-    return r == nullptr ? 0.0 : r->state == State::well ? rate(*r) : std::max(r->before, rate(*r));
+    return r == nullptr ? 0.0 : whole(*r);
   };
-  double most = std::max(kLeastPerSecond, terms_.spillShare * std::max(did(home), did(room)));
+  double most = std::max(least_, terms_.spillShare * std::max(did(home), did(room)));
   return terms_.spillPerSecond > 0 ? std::min(most, terms_.spillPerSecond) : most;
 }
 
--- a/src/rooms/rooms.h
+++ b/src/rooms/rooms.h
@@ -16,8 +16,7 @@
 
 class Rooms {
  public:
-  // patience: for how long a callback that waits for a place among strangers can still be in time.
-  Rooms(RoomTerms terms, ZoneId own, int slots, Millis fallSpan, Millis patience, std::uint64_t seed);
+  Rooms(const DeploymentTerms& terms, std::uint64_t seed);
 
   bool named() const { return !terms_.tiers.empty(); }
   // Lower is better. With no tiers named: the own room, then all others.
@@ -35,6 +34,8 @@
   void works(Millis now, EndpointId endpoint, ZoneId room, bool delivered);
   // An endpoint has failed so many times in a row.
   void fails(Millis now, EndpointId endpoint, DestinationId destination, ZoneId room, int times);
+  // A callback for the destination was taken on.
+  void asked(Millis now, DestinationId destination);
   // So many more callbacks of a destination wait without a launch out.
   void waits(DestinationId destination, int more);
   void probed(Millis now, ZoneId room);
@@ -72,6 +73,10 @@
     Millis unlistedAt{-1};  // the list named it no more
     double done{0};         // fading count of what was delivered
     Millis doneAt{0};
+    double away{0};  // the same of launches whose home it is, elsewhere
+    Millis awayAt{0};
+    double asked{0};  // and of callbacks taken on whose home it is
+    Millis askedAt{0};
     double before{0};         // deliveries a second, as it was lost
     int losses{0};            // without a whole climb between them
     Millis fedFrom{0};        // no launch before, as it climbs
@@ -83,7 +88,11 @@
   bool looksLost(const Room& r) const;
   void judge(Millis now, Room& r);
   void returns(Millis now, Room& r);
-  double rate(const Room& r) const;  // deliveries a second, lately or before it was lost
+  double rate(const Room& r) const;  // deliveries a second, lately
+  // What it is to take, a second: what it did, with what goes elsewhere, or a part of what we were asked to
+  // bring.
+  double whole(const Room& r) const;
+  Millis probePause(const Room& r);
   double spillPerSecondFrom(ZoneId home) const;
   double climbed(Millis now, const Room& r) const;
   const Room* find(ZoneId room) const {
@@ -96,11 +105,13 @@
   ZoneId own_;
   int slots_;
   Millis fallSpan_;
-  Millis patience_;
+  Millis patience_;  // for how long a callback that waits for a place among strangers can still be in time
+  double least_;     // launches a second into a room of which nothing is known
   std::mt19937 chance_;
   std::map<ZoneId, Room> rooms_;
   std::map<DestinationId, ZoneId> homes_;  // by the list
   std::map<DestinationId, int> waiting_;
+  Millis began_{-1};
   int strangersOut_{0};
 };
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -72,8 +72,7 @@
 Rules::Rules(DeploymentTerms terms, std::uint64_t seed)
     : terms_(std::move(terms)),
       chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
-      s_(Rooms(terms_.rooms, terms_.zone, terms_.slots, terms_.fallSpan, terms_.longestPromise(),
-               mix(seed))) {
+      s_(Rooms(terms_, mix(seed))) {
   s_.idleTrusted = terms_.connectionIdle;
   for (double quota : terms_.tenantQuotaPerSecond) {
     s_.tenants.push_back({std::max(1.0, kTenantBurst * quota / terms_.instances)});
@@ -513,7 +512,7 @@
 // First in rank, the next when that one has enough: its part of the window, or failures while others work.
 Endpoint* Rules::choose(const Callback& c, bool copy) {
   Endpoint* best = nullptr;
-  std::tuple<bool, bool, bool, int> bestPlace;
+  std::tuple<bool, bool, int> bestPlace;
   for (Endpoint* to : c.destination->ranking) {
     Endpoint& e = *to;
     Path& p = *e.path;
@@ -525,8 +524,7 @@
     int enough = std::max(
         1, static_cast<int>(std::ceil(p.window / static_cast<double>(c.destination->ranking.size()))));
     bool has = !joins(e) && e.callsOut >= enough;
-    auto place =
-        std::tuple(avoided(e), s_.rooms.stranger(c.destination->id, e.zone), has, has ? e.callsOut : 0);
+    auto place = std::tuple(avoided(e), has, has ? e.callsOut : 0);
     if (best == nullptr || place < bestPlace) {
       best = to;
       bestPlace = place;
--- a/tests/model_test.cpp
+++ b/tests/model_test.cpp
@@ -102,6 +102,7 @@
     for (TrafficType& t : terms.types) t.ordered = *rc::gen::arbitrary<bool>();
     terms.types[1].zoneGroup = *rc::gen::arbitrary<bool>();
     terms.kinds[0].routesApart = *rc::gen::arbitrary<bool>();
+    if (*rc::gen::arbitrary<bool>()) terms.rooms.tiers = {{ZoneId{0}}, {ZoneId{1}}};
     terms.slots = *rc::gen::inRange(1, 12);
     terms.heldMost = *rc::gen::inRange(2, 30);
     terms.mayCopy = *rc::gen::arbitrary<bool>();
@@ -173,6 +174,15 @@
         }
       }
       while (auto d = bed.rules.next()) {
+        if (d->act == Act::launch) {
+          const Rooms& rooms = bed.rules.state().rooms;
+          RC_ASSERT(!rooms.lost(ZoneId{model.list.at(d->endpoint).second}));
+          int strangers = 0;
+          for (const auto& [id, c] : bed.rules.state().callbacks) {
+            for (const Launch& l : c.launches) strangers += l.out && l.stranger;
+          }
+          RC_ASSERT(strangers <= std::max(1, terms.slots / 2));
+        }
         model.judge(*d, bed.now);
         if (d->act == Act::probe) probes.push_back(*d);
       }
