--- a/src/core/state.h
+++ b/src/core/state.h
@@ -30,7 +30,7 @@
   bool out{true};
   bool neverRan{false};
   bool withdrawn{false};
-  bool stranger{false};  // in another room than its destination's best
+  bool spilled{false};  // into another room than its destination's best, which is in trouble
 };
 
 struct Callback {
@@ -308,7 +308,7 @@
   }
   // A call is over, and its slot free, with the last outcome in it.
   void releaseCall(const Launch& launch) {
-    rooms.ended(launch.stranger);
+    rooms.ended(launch.spilled);
     auto at = calls.find(launch.call);
     if (at == calls.end() || --at->second.open > 0) return;
     Endpoint& e = *at->second.endpoint;
--- a/src/core/terms.h
+++ b/src/core/terms.h
@@ -46,7 +46,7 @@
   Tiers tiers;
   std::map<DestinationId, Tiers> destinations;  // in place of the above, for these
   double spillShare{1};      // of what the better of the two rooms completed here, for strangers in a room
-  double spillSlots{0.5};    // of the slots, for strangers everywhere
+  double spillSlots{1};      // of the slots, for strangers everywhere
   double spillPerSecond{0};  // launches of strangers into one room; 0: no such bound
   Millis climb{0};           // until a room that returned is fed in full; 0: the cold span
   double climbFrom{0};       // share of what it is asked to take that it is fed at once; 0: cold-from
--- a/src/rooms/rooms.cpp
+++ b/src/rooms/rooms.cpp
@@ -20,6 +20,7 @@
 constexpr double kTogether =
     2;  // launches in a fall span by all dispatchers into a room they know nothing of
 constexpr double kJitterLeast = 0.75;  // of a span; a half more at the most
+constexpr double kUnlistedFrom = 0.5;  // where a climb begins after the list alone had dropped the room
 constexpr Millis kNever = 1e15;
 
 }  // namespace
@@ -77,7 +78,7 @@
     }
     bool was = r.unlistedAt >= 0 && now - r.unlistedAt > fallSpan_ && r.before > 0;
     r.unlistedAt = -1;
-    if (was && r.state == State::well) returns(now, r);
+    if (was && r.state == State::well) returns(now, r, false);
     judge(now, r);
   }
 }
@@ -107,8 +108,8 @@
     // Launches keep apart by what it is fed: across all its destinations together.
     r.fedFrom = std::max(r.fedFrom, now) + 1000 / fedPerSecond(now, room) * jitter();
   }
-  if (!stranger(destination, room)) return false;
-  ++strangersOut_;
+  if (!spilled(destination, room)) return false;
+  ++spilledOut_;
   Room& home = rooms_[homeOf(destination)];
   home.away = 1 + home.away * std::exp(-(now - home.awayAt) / kRateSpan);
   home.awayAt = now;
@@ -133,7 +134,7 @@
   }
   r.workedAt = now;
   r.failing.erase(endpoint);
-  if (r.state == State::lost) returns(now, r);
+  if (r.state == State::lost) returns(now, r, true);
   if (r.state == State::climbing && now >= r.changedAt + terms_.climb) {
     r.state = State::well;
     r.losses = 0;
@@ -182,8 +183,9 @@
 }
 
 // Something answers there again. It is cold, and all that was spilled would come home in one moment.
-void Rooms::returns(Millis now, Room& r) {
+void Rooms::returns(Millis now, Room& r, bool slowly) {
   r.state = State::climbing;
+  r.slowly = slowly;
   r.changedAt = now;
   r.fedFrom = now;
   r.failingSince = now;
@@ -197,7 +199,8 @@
 }
 
 double Rooms::climbed(Millis now, const Room& r) const {
-  double from = terms_.climbFrom * std::pow(kLossPart, std::max(0, r.losses - 1));
+  double from = !r.slowly ? std::max(kUnlistedFrom, terms_.climbFrom)
+                          : terms_.climbFrom * std::pow(kLossPart, std::max(0, r.losses - 1));
   double along = std::clamp((now - r.changedAt) / std::max(1.0, terms_.climb), 0.0, 1.0);
   return from + (1 - from) * along;
 }
@@ -230,6 +233,12 @@
   return named() && tier(destination, room) > tier(destination, homeOf(destination));
 }
 
+bool Rooms::spilled(DestinationId destination, ZoneId room) const {
+  if (!stranger(destination, room)) return false;
+  ZoneId home = homeOf(destination);
+  return lost(home) || find(home)->state == State::climbing;
+}
+
 double Rooms::spillPerSecond(ZoneId home, ZoneId room) const {
   auto did = [&](ZoneId id) {
     const Room* r = find(id);
@@ -261,8 +270,8 @@
   const Room* r = find(room);
   if (r == nullptr) return 0;
   Millis from = r->state == State::climbing ? std::min(r->fedFrom, r->changedAt + terms_.climb) : 0;
-  if (!stranger(destination, room)) return from;
-  if (strangersOut_ >= std::max(1, static_cast<int>(terms_.spillSlots * slots_))) return kNever;
+  if (!spilled(destination, room)) return from;
+  if (spilledOut_ >= std::max(1, static_cast<int>(terms_.spillSlots * slots_))) return kNever;
   return std::max(from, r->strangersFrom);
 }
 
--- a/src/rooms/rooms.h
+++ b/src/rooms/rooms.h
@@ -27,9 +27,9 @@
   void listed(EndpointId endpoint, DestinationId destination, ZoneId room);
   void listEnds(Millis now);
 
-  // Returns whether it is a stranger there; to be told again at its end.
+  // Returns whether it is spilled; to be told again at its end.
   bool launched(Millis now, DestinationId destination, ZoneId room);
-  void ended(bool stranger) { strangersOut_ -= stranger; }
+  void ended(bool spilled) { spilledOut_ -= spilled; }
   // Something was delivered there, or a probe answered.
   void works(Millis now, EndpointId endpoint, ZoneId room, bool delivered);
   // An endpoint has failed so many times in a row.
@@ -48,6 +48,8 @@
   bool climbing(Millis now, ZoneId room) const;
   // Whether the destination's best room, by the list, is better than this one.
   bool stranger(DestinationId destination, ZoneId room) const;
+  // The same, since its home is lost or fed slowly; only then is there a cap.
+  bool spilled(DestinationId destination, ZoneId room) const;
   // The destination's home is lost, and more waits for it than can go elsewhere in time.
   bool overfull(DestinationId destination) const;
   // How long what waits for a lost home takes to go elsewhere; 0 where the home is not lost.
@@ -70,6 +72,7 @@
     Millis failingSince{0};                 // of the first of those
     Millis workedAt{-1};
     Millis changedAt{0};    // the state
+    bool slowly{true};      // it begins at the least, as after a loss
     Millis unlistedAt{-1};  // the list named it no more
     double done{0};         // fading count of what was delivered
     Millis doneAt{0};
@@ -87,7 +90,7 @@
   ZoneId homeOf(DestinationId destination) const;
   bool looksLost(const Room& r) const;
   void judge(Millis now, Room& r);
-  void returns(Millis now, Room& r);
+  void returns(Millis now, Room& r, bool slowly);
   double rate(const Room& r) const;  // deliveries a second, lately
   // What it is to take, a second: what it did, with what goes elsewhere, or a part of what we were asked to
   // bring.
@@ -112,7 +115,7 @@
   std::map<DestinationId, ZoneId> homes_;  // by the list
   std::map<DestinationId, int> waiting_;
   Millis began_{-1};
-  int strangersOut_{0};
+  int spilledOut_{0};
 };
 
 }  // namespace stonewing
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -561,13 +561,9 @@
     span = std::min(span, std::max(type(c).promised, kStuck * usual(p, type(c)).p95));
   }
   c.copied = c.copied || copy;
-  bool stranger = s_.rooms.launched(s_.now, e.destination->id, e.zone);
-  c.launches.push_back({.endpoint = &e,
-                        .sent = s_.now,
-                        .idle = idle,
-                        .call = e.batchCall,
-                        .copy = copy,
-                        .stranger = stranger});
+  bool spilled = s_.rooms.launched(s_.now, e.destination->id, e.zone);
+  c.launches.push_back(
+      {.endpoint = &e, .sent = s_.now, .idle = idle, .call = e.batchCall, .copy = copy, .spilled = spilled});
   s_.place(id, c);
   reached(s_.now + silenceOf(c, p));
   asked_.launched = s_.round;
