--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 
 #include "core/bytes.h"
+#include "lab/draw.h"
 
 namespace stonewing::lab {
 namespace {
@@ -72,6 +73,92 @@
   return spans;
 }
 
+// Endpoints of a room.
+std::vector<int> endpointsIn(const Plan& plan, std::size_t room) {
+  std::vector<int> endpoints;
+  for (int e = 0; e < plan.endpointCount(); ++e) {
+    if (plan.roomOf(e) == static_cast<int>(room)) endpoints.push_back(e);
+  }
+  return endpoints;
+}
+
+// What a room takes without falling, launches and probes a second: nothing while a trouble has it, and along
+// its warming after one that was longer than a blip.
+double bearable(const Plan& plan, const std::string& room, std::size_t endpoints, Millis at) {
+  double warm = 1;
+  for (const TroublePlan& t : plan.troubles) {
+    bool dark = t.kind == TroubleKind::blackhole || t.kind == TroubleKind::refuse ||
+                t.kind == TroubleKind::silent || t.kind == TroubleKind::shut;
+    if (!dark || t.room != room || at < t.from) continue;
+    if (at < t.until) return 0;
+    if (t.until - t.from <= plan.world.fallSpan) continue;
+    double along = std::min(1.0, (at - t.until) / plan.world.coldSpan);
+    warm = std::min(warm, plan.world.coldFrom + (1 - plan.world.coldFrom) * along);
+  }
+  double whole = plan.world.parallel * static_cast<double>(endpoints) / meanOf(plan.world.service) * kSecond;
+  return plan.world.fallMultiple * whole * warm;
+}
+
+// The rate into rooms that return, against what each can bear at that moment.
+Figure returnsOf(const Report& r, double step) {
+  Figure figure{"Into rooms that return, and what they bear",
+                "seconds",
+                "a second",
+                false,
+                false,
+                false,
+                {},
+                troubleSpans(r.plan)};
+  for (std::size_t room = 0; room < r.plan.world.rooms.size(); ++room) {
+    const std::string& name = r.plan.world.rooms[room];
+    bool struck = std::any_of(r.plan.troubles.begin(), r.plan.troubles.end(),
+                              [&](const TroublePlan& t) { return t.room == name; });
+    if (!struck) continue;
+    std::vector<int> endpoints = endpointsIn(r.plan, room);
+    Line sent{name + ", launched", {}};
+    Line bears{name + ", bears", {}};
+    auto counts = arrivalsPerSlice(r.plan, r.trace, endpoints, step * kSecond);
+    for (std::size_t n = 0; n < counts.size(); ++n) {
+      double at = static_cast<double>(n) * step;
+      sent.points.emplace_back(at, static_cast<double>(counts[n]) / step);
+      bears.points.emplace_back(at, bearable(r.plan, name, endpoints.size(), (at + step / 2) * kSecond));
+    }
+    figure.lines.push_back(std::move(sent));
+    figure.lines.push_back(std::move(bears));
+  }
+  return figure;
+}
+
+// Launches that arrive in a room from dispatchers of other rooms.
+Figure strangersOf(const Report& r, double step) {
+  Figure figure{"Launches from other rooms, by where they arrive",
+                "seconds",
+                "a second",
+                false,
+                false,
+                false,
+                {},
+                troubleSpans(r.plan)};
+  std::size_t rooms = r.plan.world.rooms.size();
+  std::vector<std::vector<double>> counts(rooms);
+  for (const Event& e : r.trace.events) {
+    if (e.what != What::arrived) continue;
+    auto room = static_cast<std::size_t>(r.plan.roomOf(static_cast<int>(e.endpoint)));
+    if (e.dispatcher % rooms == room) continue;
+    auto slice = static_cast<std::size_t>(e.at / (step * kSecond));
+    if (counts[room].size() <= slice) counts[room].resize(slice + 1);
+    counts[room][slice] += 1 / step;
+  }
+  for (std::size_t room = 0; room < rooms; ++room) {
+    Line line{r.plan.world.rooms[room], {}};
+    for (std::size_t n = 0; n < counts[room].size(); ++n) {
+      line.points.emplace_back(static_cast<double>(n) * step, counts[room][n]);
+    }
+    figure.lines.push_back(std::move(line));
+  }
+  return figure;
+}
+
 std::vector<Figure> figuresOf(const Report& r) {
   std::vector<Figure> figures;
   const auto& series = r.tally.series;
@@ -113,10 +200,7 @@
                  {},
                  troubleSpans(r.plan)};
     for (std::size_t room = 0; room < r.plan.world.rooms.size(); ++room) {
-      std::vector<int> endpoints;
-      for (int e = 0; e < r.plan.endpointCount(); ++e) {
-        if (r.plan.roomOf(e) == static_cast<int>(room)) endpoints.push_back(e);
-      }
+      std::vector<int> endpoints = endpointsIn(r.plan, room);
       Line line{r.plan.world.rooms[room], {}};
       auto counts = arrivalsPerSlice(r.plan, r.trace, endpoints, step * kSecond);
       for (std::size_t n = 0; n < counts.size(); ++n) {
@@ -125,6 +209,8 @@
       rooms.lines.push_back(std::move(line));
     }
     figures.push_back(std::move(rooms));
+    if (r.plan.fleet.tiers != TierShape::none) figures.push_back(strangersOf(r, step));
+    if (r.plan.world.roomsCold) figures.push_back(returnsOf(r, step));
   }
   if (r.played != nullptr && !r.played->usage.empty()) {
     Figure memory{"Memory of each dispatcher", "seconds", "MB resident", false, false, false, {},
