--- a/src/lab/model.cpp
+++ b/src/lab/model.cpp
@@ -415,7 +415,7 @@
     auto at = calls_.find(number);
     if (at == calls_.end() || at->second.closed) return;
     Call& call = at->second;
-    if (town_.vanished(call.endpoint))
+    if (town_.vanished(call.endpoint, call.dispatcher))
       return this->at(now_ + plan_.fleet.connectWithin, Kind::connectFailed, number);
     if (town_.refuses(call.endpoint)) return ended(number, Ending::connectFailed, 0, false);
     const Policy& policy = *dispatchers_[call.dispatcher].policy;
@@ -434,8 +434,8 @@
     auto at = calls_.find(number);
     if (at == calls_.end()) return;
     Call& call = at->second;
-    if (town_.vanished(call.endpoint)) return;  // nothing comes through
-    if (town_.refuses(call.endpoint)) {         // it ended under the bytes on their way
+    if (town_.vanished(call.endpoint, call.dispatcher)) return;  // nothing comes through
+    if (town_.refuses(call.endpoint)) {                          // it ended under the bytes on their way
       this->at(now_ + oneWay(call.dispatcher, call.endpoint), Kind::replyArrives, number, 0,
                static_cast<std::int32_t>(Said::reset));
       return;
@@ -460,7 +460,7 @@
     if (at == calls_.end()) return;
     Call& call = at->second;
     call.replied = true;
-    if (r.said == Said::silence || town_.vanished(call.endpoint)) return;
+    if (r.said == Said::silence || town_.vanished(call.endpoint, call.dispatcher)) return;
     for (const Member& m : call.members) {
       note({.what = What::replied,
             .callback = m.callback,
@@ -589,7 +589,7 @@
     calls_.erase(at);
     if (call.endpoint >= static_cast<std::uint32_t>(plan_.endpointCount())) return;
     town_.disconnected(call.endpoint);
-    if (!call.arrived || town_.vanished(call.endpoint)) return;
+    if (!call.arrived || town_.vanished(call.endpoint, call.dispatcher)) return;
     bool ran = call.replied || town_.abandoned(now_, number, call.endpoint);
     townNext(call.endpoint);
     for (const Member& m : call.members) {
@@ -616,7 +616,7 @@
   void probeArrives(std::uint32_t d, std::uint32_t endpoint, std::uint32_t life) {
     bool there = endpoint < static_cast<std::uint32_t>(plan_.endpointCount()) && !town_.refuses(endpoint);
     Millis back = oneWay(d, known(endpoint));
-    if (there && !town_.vanished(endpoint)) {
+    if (there && !town_.vanished(endpoint, d)) {
       int status = town_.probed(now_, endpoint, static_cast<std::uint16_t>(d));
       if (status != 0) return at(now_ + back, Kind::probeReply, d, endpoint, status, life);
     } else if (!there) {
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -30,8 +30,8 @@
     {"list-late", TroubleKind::listLate},  {"list-silent", TroubleKind::listSilent},
     {"drain", TroubleKind::drain},         {"list-wrong", TroubleKind::listWrong},
     {"kill", TroubleKind::kill},           {"stop", TroubleKind::stop},
-    {"terminate", TroubleKind::terminate}, {"disk-full", TroubleKind::diskFull},
-    {"disk-hang", TroubleKind::diskHang},
+    {"terminate", TroubleKind::terminate}, {"cut-off", TroubleKind::cutOff},
+    {"disk-full", TroubleKind::diskFull},  {"disk-hang", TroubleKind::diskHang},
 };
 
 // How many letters must change to make one word of the other.
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -100,6 +100,7 @@
   kill,        // SIGKILL of a dispatcher, started anew at the end
   stop,        // SIGSTOP until the end
   terminate,   // SIGTERM, started anew at the end
+  cutOff,      // nothing comes through between the dispatchers and the endpoints, in either direction
   diskFull,    // no room in the dispatcher's folder
   diskHang,    // a write there takes until the end
 };
--- a/src/lab/town.cpp
+++ b/src/lab/town.cpp
@@ -130,6 +130,15 @@
 
 std::vector<Reply> Town::strike(Millis now, const TroublePlan& trouble, bool begins) {
   std::vector<Reply> ended;
+  if (trouble.kind == TroubleKind::cutOff) {
+    for (int n : plan_.struck(trouble)) {
+      for (int d : trouble.dispatchers) {
+        auto at = cuts_.try_emplace({static_cast<std::uint32_t>(d), static_cast<std::uint32_t>(n)}).first;
+        if ((at->second += begins ? 1 : -1) == 0) cuts_.erase(at);
+      }
+    }
+    return ended;
+  }
   for (int n : plan_.struck(trouble)) {
     auto id = static_cast<std::uint32_t>(n);
     Endpoint& e = endpoints_[id];
@@ -228,7 +237,7 @@
 
 Town::Connect Town::connect(Millis now, std::uint32_t id, std::uint16_t dispatcher) {
   Endpoint& e = endpoints_[id];
-  if (e.condition.vanished > 0) return Connect::never;
+  if (vanished(id, dispatcher)) return Connect::never;
   if (e.condition.refuses > 0 || tableFull(id)) {
     trace_.events.push_back(
         {.at = now, .what = What::refusedConnect, .endpoint = id, .dispatcher = dispatcher});
--- a/src/lab/town.h
+++ b/src/lab/town.h
@@ -46,7 +46,10 @@
   // A connection is asked for; where it comes up it takes a place in the table until disconnected.
   Connect connect(Millis now, std::uint32_t endpoint, std::uint16_t dispatcher);
   void disconnected(std::uint32_t endpoint);
-  bool vanished(std::uint32_t endpoint) const { return at(endpoint).condition.vanished > 0; }
+  // Nothing comes through to it, or to it from this dispatcher.
+  bool vanished(std::uint32_t endpoint, std::uint32_t dispatcher) const {
+    return at(endpoint).condition.vanished > 0 || cuts_.contains({dispatcher, endpoint});
+  }
   bool tableFull(std::uint32_t endpoint) const {
     const Endpoint& e = at(endpoint);
     return e.connections >= (e.condition.places > 0 ? e.condition.places : plan_.world.connections);
@@ -147,6 +150,8 @@
   std::vector<Endpoint> endpoints_;
   std::vector<Destination> destinations_;
   std::vector<Room> rooms_;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, int>
+      cuts_;  // dispatcher and endpoint: troubles that part them
   std::vector<int> roomSizes_;
   std::unordered_map<std::uint64_t, Millis> receipts_;  // by key and group: when it first ran
 };
--- a/src/lab/world.cpp
+++ b/src/lab/world.cpp
@@ -288,7 +288,7 @@
 
 void World::arrives(std::uint32_t call) {
   auto at = out_.find(call);
-  if (at == out_.end() || town_.vanished(at->second.endpoint)) return;
+  if (at == out_.end() || town_.vanished(at->second.endpoint, at->second.dispatcher)) return;
   Out& out = at->second;
   auto now = town_.arrived(clock_.now(), call, out.endpoint, out.dispatcher, out.callbacks);
   if (now) reply(*now);
@@ -319,11 +319,11 @@
   auto at = out_.find(call);
   if (at == out_.end()) return;
   // Called off while the reply was on its way: nobody hears it, and the end of its connection says so.
-  if (!town_.vanished(at->second.endpoint) && at->second.served->left()) return;
+  if (!town_.vanished(at->second.endpoint, at->second.dispatcher) && at->second.served->left()) return;
   Out out = std::move(at->second);
   out_.erase(at);
   callOf_.erase(out.served);
-  if (town_.vanished(out.endpoint)) return;
+  if (town_.vanished(out.endpoint, out.dispatcher)) return;
   for (std::uint32_t c : out.callbacks) {
     trace_.events.push_back({.at = clock_.now(),
                              .what = What::replied,
@@ -413,9 +413,11 @@
   for (const Reply& r : town_.strike(clock_.now(), t, begins)) reply(r);
   for (int n : plan_.struck(t)) {
     auto e = static_cast<std::uint32_t>(n);
-    for (auto& server : endpoints_[e]) {
-      if (t.kind == TroubleKind::refuse) server->refuse(town_.refuses(e));
-      if (t.kind == TroubleKind::blackhole) server->vanish(town_.vanished(e));
+    for (std::uint32_t d = 0; d < endpoints_[e].size(); ++d) {
+      Server& server = *endpoints_[e][d];
+      if (t.kind == TroubleKind::refuse) server.refuse(town_.refuses(e));
+      if (t.kind == TroubleKind::blackhole || t.kind == TroubleKind::cutOff)
+        server.vanish(town_.vanished(e, d));
     }
     table(e);
     next(e);
