A call of several drops, before its bytes go out, whoever has ended while it was connecting

Cause: Calls::write composed a call when it was decided, and Calls::mayBegin passed over those already told. So what was over went out with the others of its call. The same hole: a call half written when one of its callbacks is called off. Change: bytes are composed when the connection is up, of those still wanted; one that may no longer begin does not take the others with it. A half-written call that loses one is broken off whole: it has run for none. Test: Node.LeavesOutOfACallThatComesUpLateWhatHasEndedMeanwhile, which fails without the change.

--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -87,11 +87,17 @@
 void Calls::send() {
   std::vector<Line*> due = std::exchange(noted_, {});
   for (Line* line : due) {
+    std::erase_if(line->members, [](const Member& m) { return m.told; });
+    if (line->members.empty()) {
+      release(*line);
+      continue;
+    }
     for (const Member& m : line->members) {
       if (book_.find(m.callback) == nullptr || book_.lostLaunch(m.callback, m.launch)) line->failed = true;
     }
     if (!line->failed && loop_.now() > line->sent && !stillWanted(*line)) continue;
-    if (!line->failed) write(*line);
+    if (!line->failed && line->up()) write(*line);
+    if (!line->failed) line->begin();
     settle(*line);
   }
 }
@@ -141,12 +147,12 @@
   oldest_.insert({line.usedAt, &line});
 }
 
+// What goes out, of those that are in the call by now: only once its connection is up.
 void Calls::write(Line& line) {
-  Millis latest = line.sent;
+  Millis latest = loop_.now();
   for (const Member& m : line.members) latest = std::max(latest, m.due);
-  std::string common = "Host: " + catalog_.find(line.endpoint)->authority +
-                       "\r\nX-Deadline-Ms: " + std::to_string(static_cast<std::int64_t>(latest - line.sent)) +
-                       "\r\n";
+  std::string common = "Host: " + catalog_.find(line.endpoint)->authority + "\r\nX-Deadline-Ms: " +
+                       std::to_string(static_cast<std::int64_t>(latest - loop_.now())) + "\r\n";
   if (line.members.size() == 1) {
     const Held* held = book_.find(line.members[0].callback);
     std::string head = "POST /v1/messages HTTP/1.1\r\n" + common + "X-Request-Id: " + held->ref + "\r\n";
@@ -171,7 +177,6 @@
       line.add(std::string("\r\n"));
     }
   }
-  line.begin();
 }
 
 Calls::Line& Calls::lineTo(EndpointId endpoint) {
@@ -225,8 +230,19 @@
     tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::withdrawn) : Ending::notSent, false, 0);
     break;
   }
-  bool all = std::all_of(line.members.begin(), line.members.end(), [](const Member& x) { return x.told; });
-  if (all) release(line);
+  if (calledOff(line)) release(line);
+}
+
+// Whether a call has nothing left to wait for, now that the end of one of its callbacks was told. Danger: of
+// one that is half written the rest would still go out, for a callback that is over or was told as never sent.
+// Broken off now it has run for none.
+bool Calls::calledOff(Line& line) {
+  auto told = [](const Member& m) { return m.told; };
+  bool halfWritten = line.busy() && line.up() && !line.lastByteWritten();
+  if (halfWritten && std::any_of(line.members.begin(), line.members.end(), told)) {
+    tellAll(line, Ending::notSent);
+  }
+  return !line.members.empty() && std::all_of(line.members.begin(), line.members.end(), told);
 }
 
 void Calls::probe(EndpointId endpoint) {
@@ -364,14 +380,22 @@
 
 // A connection may come up long after its call was decided. By then the endpoint may drain, may have told us
 // to wait, or a repeat's window may be over, and the rules count a call from its bytes: it is not sent.
+// Danger: of several in a call one may have ended meanwhile, its time up or its other launch answered. Written
+// out when the call was decided, all would go once the connection is up, that one after its final answer.
 bool Calls::mayBegin(HttpLink& link) {
   Line& line = static_cast<Line&>(link);
-  auto may = [&](const Member& m) { return m.told || rules_.mayBegin(m.callback, m.launch); };
-  if (std::all_of(line.members.begin(), line.members.end(), may)) return true;
-  tellAll(line, Ending::notSent);
-  line.members.clear();
-  release(line);
-  return false;
+  if (line.probing || !line.busy()) return true;  // or the journal does not have it yet
+  for (Member& m : line.members) {
+    if (!m.told && !rules_.mayBegin(m.callback, m.launch)) tell(line, m, Ending::notSent, false, 0);
+  }
+  std::erase_if(line.members, [](const Member& m) { return m.told; });
+  if (line.members.empty()) {
+    release(line);
+    return false;
+  }
+  write(line);
+  settle(line);
+  return true;
 }
 
 // How a call ended that brought no good answer: before its last byte was written it cannot have run. A first
@@ -436,15 +460,13 @@
     rules_.probeEnded(line.endpoint, Ending::timeout, 0);
     return release(line);
   }
-  bool all = !line.members.empty();
   for (Member& m : line.members) {
     // A connection that never came up has launched nothing, and its time was not up either: not sent.
     if (!m.told && loop_.now() >= m.due) {
       tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::timeout) : Ending::notSent, false, 0);
     }
-    all = all && m.told;
   }
-  if (all) return release(line);
+  if (calledOff(line)) return release(line);
   settle(line);
 }
 
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -71,6 +71,7 @@
   void tell(Line& line, Member& member, Ending ending, bool over, Millis wait);
   void tellAll(Line& line, Ending ending, bool over = false, Millis wait = 0);
   void readMany(Line& line, Millis wait);
+  bool calledOff(Line& line);
   void release(Line& line);
   // A line has changed: when it is to be looked at, and whether it stands idle, is noted anew.
   void settle(Line& line);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -618,6 +618,24 @@
   ::close(slow);
 }
 
+// Danger: of several in one call one ends while the connection is coming up. A part of the network that was cut
+// off for seconds brings up hundreds of such at once, and each sent what was over.
+TEST(Node, LeavesOutOfACallThatComesUpLateWhatHasEndedMeanwhile) {
+  StandIn endpoint([](auto&, auto&) { return kOk; }, 0);
+  int held = loopback(endpoint.port(), false);  // its queue is full
+  StandIn world(platform);
+  world.start();
+  Node node(kSettings, row(endpoint, "many"), world.address());
+  ASSERT_TRUE(node.start());
+  std::string both = submit("over", "c=status,d=300,dest=7") + submit("left", "c=status,d=8000,dest=7");
+  EXPECT_EQ(node.ask(both, 2), "+OK\r\n+OK\r\n");
+  ASSERT_TRUE(within(900, [&] { return world.count("\"over\"") == 1; }));
+  endpoint.start();
+  ASSERT_TRUE(within(4000, [&] { return endpoint.count("left") == 1; }));
+  EXPECT_EQ(endpoint.count("over"), 0u);
+  ::close(held);
+}
+
 // Danger: the program ends on the signal, or goes on asking, and telling, an address that is no more.
 TEST(Node, TakesANewAddressOfDiscoveryWhenToldToReread) {
   StandIn endpoint([](auto&, auto&) { return kOk; });
