--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -234,8 +234,8 @@
 }
 
 // Whether a call has nothing left to wait for, now that the end of one of its callbacks was told. Danger: of
-// one that is half written the rest would still go out, for a callback that is over or was told as never sent.
-// Broken off now it has run for none.
+// one that is half written the rest would still go out, for a callback that is over or was told as never
+// sent. Broken off now it has run for none.
 bool Calls::calledOff(Line& line) {
   auto told = [](const Member& m) { return m.told; };
   bool halfWritten = line.busy() && line.up() && !line.lastByteWritten();
@@ -380,8 +380,9 @@
 
 // A connection may come up long after its call was decided. By then the endpoint may drain, may have told us
 // to wait, or a repeat's window may be over, and the rules count a call from its bytes: it is not sent.
-// Danger: of several in a call one may have ended meanwhile, its time up or its other launch answered. Written
-// out when the call was decided, all would go once the connection is up, that one after its final answer.
+// Danger: of several in a call one may have ended meanwhile, its time up or its other launch answered.
+// Written out when the call was decided, all would go once the connection is up, that one after its final
+// answer.
 bool Calls::mayBegin(HttpLink& link) {
   Line& line = static_cast<Line&>(link);
   if (line.probing || !line.busy()) return true;  // or the journal does not have it yet
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -618,8 +618,8 @@
   ::close(slow);
 }
 
-// Danger: of several in one call one ends while the connection is coming up. A part of the network that was cut
-// off for seconds brings up hundreds of such at once, and each sent what was over.
+// Danger: of several in one call one ends while the connection is coming up. A part of the network that was
+// cut off for seconds brings up hundreds of such at once, and each sent what was over.
 TEST(Node, LeavesOutOfACallThatComesUpLateWhatHasEndedMeanwhile) {
   StandIn endpoint([](auto&, auto&) { return kOk; }, 0);
   int held = loopback(endpoint.port(), false);  // its queue is full
