What has no chance to be answered in time is shed with a time to come back, not given up untried

Cause: Rules::dueAnswer knew one end at the outer limit, given up, also for what was never launched. One dispatcher hardly shows it; three hundred have a third of a call a second each at a destination of 100 a second, and what waits behind that waits in vain. Change: a callback that cannot have run is looked at from its promised time on, every half promised time. Where its paths, by the waits and pauses told, open too late for an answer, or it is over its tenant's share while they refuse, it is shed at once with the time to come back; at the outer limit it is shed as well. What may have run is given up as before.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -151,6 +151,7 @@
   if (terms_.types[type.value].ordered && key.value != 0) s_.keys[key].waiting.push_back(id);
   s_.outerLimits.insert({outerLimit, id});
   s_.place(id, c);
+  s_.spentFrom.insert({s_.now + terms_.types[type.value].promised, id});  // whether it still has a chance
 }
 
 // After a restart: what was out may have run, for the rules on effects and for the count of launches.
@@ -203,7 +204,8 @@
   }
   c->notBefore = s_.now + (l.neverRan || worn ? 0 : kRetryPause * usual(p, type(*c)).p50);
   s_.place(id, *c);
-  if (Millis at = spentAt(*c); c->settled() && at < c->outerLimit) s_.spentFrom.insert({at, id});
+  Millis at = anyMayHaveRun(*c) ? spentAt(*c) : s_.now + kUrgencyStep * type(*c).promised;
+  if (c->settled() && at < c->outerLimit) s_.spentFrom.insert({std::min(at, spentAt(*c)), id});
   if (ending != Ending::withdrawn && ending != Ending::notSent) seen_ = {};
   if (isOver || ending == Ending::completed) over(id);
   s_.forgetSettled(id);
@@ -604,17 +606,42 @@
   }
 }
 
+// When a callback may go out at the earliest, as far as its paths have told, and when it would have to. While
+// they refuse, one over its tenant's share stands behind all others for good.
+std::pair<Millis, Millis> Rules::chanceOf(const Callback& c) const {
+  Millis opens = c.destination->ranking.empty() ? s_.now : c.outerLimit;
+  Millis latency = c.outerLimit;
+  for (const Endpoint* e : c.destination->ranking) {
+    if (!c.overShare || e->path->refusals <= 0)
+      opens = std::min(opens, std::max({s_.now, e->path->waitUntil, e->path->pauseUntil}));
+    latency = std::min(latency, usual(*e->path, type(c)).p50);
+  }
+  return {opens, c.destination->ranking.empty() ? c.outerLimit : c.outerLimit - latency};
+}
+
+Decision Rules::shed(CallbackId id, Millis away) {
+  return {Act::shed, over(id), {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
+}
+
+// Danger: one that cannot be answered in time any more, kept to its outer limit, ends as given up without
+// ever having been tried, and its client hears of it when no other dispatcher can help. In a large fleet each
+// has few calls to a destination, and so many that wait in vain.
 std::optional<Decision> Rules::dueAnswer() {
   for (const auto& [limit, id] : s_.outerLimits) {
     if (!reached(limit)) break;
-    if (!s_.callbacks.at(id).started) return Decision{Act::giveUp, over(id), {}, 0, 0};
+    const Callback& c = s_.callbacks.at(id);
+    if (!c.started) return Decision{anyMayHaveRun(c) ? Act::giveUp : Act::shed, over(id), {}, 0, 0};
   }
   while (!s_.spentFrom.empty() && reached(s_.spentFrom.begin()->first)) {
     CallbackId id = s_.spentFrom.begin()->second;
     s_.spentFrom.erase(s_.spentFrom.begin());
     const Callback* c = s_.find(id);
-    bool rests = c != nullptr && !c->over && c->settled() && !c->launches.empty();
-    if (rests && !repeatAllowed(*c, nullptr)) return Decision{Act::giveUp, over(id), {}, 0, 0};
+    if (c == nullptr || c->over || !c->settled()) continue;
+    if (!repeatAllowed(*c, nullptr)) return Decision{Act::giveUp, over(id), {}, 0, 0};
+    if (anyMayHaveRun(*c)) continue;
+    auto [opens, by] = chanceOf(*c);
+    if (opens >= by) return shed(id, opens - s_.now);
+    s_.spentFrom.insert({std::min(by, s_.now + kUrgencyStep * type(*c).promised), id});
   }
   return std::nullopt;
 }
@@ -649,8 +676,7 @@
     }
   }
   if (!least) return std::nullopt;
-  return Decision{
-      Act::shed, over(*least), {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
+  return shed(*least, away);
 }
 
 std::optional<Decision> Rules::withdrawLoser() {
--- a/src/rules.h
+++ b/src/rules.h
@@ -91,6 +91,8 @@
   void noticeSilence();
   template <class Visit>
   void mostUrgent(const WaitLine& line, const TrafficType& t, Millis from, Visit visit) const;
+  std::pair<Millis, Millis> chanceOf(const Callback& c) const;
+  Decision shed(CallbackId id, Millis away);
   std::optional<Decision> dueAnswer();
   std::optional<Decision> makeRoom();
   std::optional<Decision> withdrawLoser();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -64,6 +64,37 @@
   EXPECT_EQ(ordered.pull(Act::launch).size(), 1u);
 }
 
+// Danger: what cannot be launched in time any more is kept to its outer limit and ends as given up, untried.
+TEST(Answers, WhatHasNoChanceLeftIsShedAndToldWhenToComeBack) {
+  Bed bed;
+  bed.take(1);
+  for (const Decision& d : bed.pull(Act::launch)) bed.end(d, Ending::full, 100, 9800);
+  bed.take(2);
+  EXPECT_TRUE(bed.pull(Act::shed).empty());  // nothing is given up on before its promised time
+  bed.to(bed.now + 1000);
+  std::vector<Decision> shed = bed.pull(Act::shed);
+  ASSERT_EQ(shed.size(), 2u);
+  for (const Decision& d : shed) EXPECT_EQ(d.span, 2000);  // the longest time that a client heeds
+  EXPECT_TRUE(bed.pull(Act::giveUp).empty());
+}
+
+TEST(Answers, WhatWasNeverLaunchedIsNotGivenUp) {
+  Bed bed(plainTerms(Effect::effectful), 0);
+  bed.take(1);
+  bed.to(bed.now + 9999);
+  EXPECT_TRUE(bed.pull(Act::shed).empty());  // an endpoint may still be listed
+  bed.to(bed.now + 1);
+  EXPECT_EQ(bed.pull(Act::shed).size(), 1u);
+}
+
+TEST(Answers, WhatMayHaveRunIsGivenUpAtItsOuterLimit) {
+  Bed bed(plainTerms(Effect::effectful));
+  bed.take(1);
+  ASSERT_EQ(bed.pull(Act::launch).size(), 1u);
+  bed.to(bed.now + 10000);
+  EXPECT_TRUE(bed.pull(Act::shed).empty());
+}
+
 // Danger: a connection that comes up late; the endpoint sees the call when its bytes come.
 TEST(Effects, ALaunchDecidedEarlierBeginsOnlyIfItWouldBeAllowedNow) {
   DeploymentTerms terms = plainTerms(Effect::receipted);
