Try: completions that report little of a limit left add to the pause; sheds only once no launch can be answered

Cause: a client that is refused early comes again, and pushes at the limit that it was refused for. Change: what never ran is shed only once no launch of it can be answered in time (half of p50 left), so that nobody comes again for it. And a try: x0, the share of a limit that is left, is handed to the module, and eases or adds to the pause.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,6 +41,7 @@
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
 constexpr double kRefusalsMost = 4;    // doublings of the pause after refusals
 constexpr double kRelief = 0.35;       // of a doubling, taken back by a completion
+constexpr double kSpare = 0.15;        // of a limit, left over; with less told, completions add to the pause
 constexpr double kShutWait = 1.4;      // a told wait of so many fall spans is longer than any limit's span
 constexpr double kBlip = 2;            // fall spans without a completion that leave nothing cold
 constexpr double kShutSpans = 3;       // refusals alone for so many fall spans: shut
@@ -62,6 +63,7 @@
 constexpr double kTrustLeast = 0.025;  // of the time after which an idle connection closes by itself
 constexpr double kTrustGrowth = 1.1;   // by each idle connection that worked
 
+constexpr double kChanceLeast = 0.5;  // of p50; hardly any answer comes sooner
 constexpr double kRoomKept = 0.05;    // of the callbacks held at most
 constexpr double kForgotten = 4;      // cold spans after which nothing of an endpoint that has gone is true
 constexpr double kTenantBurst = 2;    // seconds of a tenant's quota
@@ -151,7 +153,7 @@
   if (terms_.types[type.value].ordered && key.value != 0) s_.keys[key].waiting.push_back(id);
   s_.outerLimits.insert({outerLimit, id});
   s_.place(id, c);
-  s_.spentFrom.insert({s_.now + terms_.types[type.value].promised, id});  // whether it still has a chance
+  s_.spentFrom.insert({latestLaunch(c), id});
 }
 
 // After a restart: what was out may have run, for the rules on effects and for the count of launches.
@@ -165,7 +167,7 @@
 }
 
 void Rules::launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool isOver, Millis wait,
-                        double limit) {
+                        double limit, double left) {
   Callback* c = s_.find(id);
   if (c == nullptr || launch >= static_cast<int>(c->launches.size()) || !c->launches[launch].out) return;
   Launch& l = c->launches[launch];
@@ -191,7 +193,7 @@
   bool worn = ending == Ending::reset && l.idle > 0 && spent < usual(p, type(*c)).p50;
   bool cutShort = ending == Ending::timeout && s_.now >= c->outerLimit;  // perhaps only sent late
   if (ending == Ending::completed) {
-    noteOk(p, e, l.sent, spent);
+    noteOk(p, e, l.sent, spent, left);
   } else if (ending == Ending::full) {
     noteRefusal(p, e, wait, l.sent);
   } else if (ending != Ending::withdrawn && ending != Ending::notSent && !worn &&
@@ -204,8 +206,8 @@
   }
   c->notBefore = s_.now + (l.neverRan || worn ? 0 : kRetryPause * usual(p, type(*c)).p50);
   s_.place(id, *c);
-  Millis at = anyMayHaveRun(*c) ? spentAt(*c) : s_.now + kUrgencyStep * type(*c).promised;
-  if (c->settled() && at < c->outerLimit) s_.spentFrom.insert({std::min(at, spentAt(*c)), id});
+  Millis at = anyMayHaveRun(*c) ? spentAt(*c) : std::min(spentAt(*c), latestLaunch(*c));
+  if (c->settled() && at < c->outerLimit) s_.spentFrom.insert({at, id});
   if (ending != Ending::withdrawn && ending != Ending::notSent) seen_ = {};
   if (isOver || ending == Ending::completed) over(id);
   s_.forgetSettled(id);
@@ -304,7 +306,7 @@
   lookAgain(p);
 }
 
-void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
+void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent, double left) {
   bool enough = p.samples.kept.size() >= kEnoughPooled;
   if (enough && spent > kLate * p.samples.usual.p95) {
     cut(p, sent);
@@ -328,7 +330,8 @@
   if (std::exchange(p.outage, false)) lookAgain(p);
   p.okShare += kOkSharePart * (1 - p.okShare);
   p.refusedSince = -1;
-  if (sent >= p.refusedAt) p.refusals = std::max(0.0, p.refusals - kRelief);
+  double relief = left < 0 ? 1 : std::clamp(left / kSpare - 1, -1.0, 1.0);
+  if (sent >= p.refusedAt) p.refusals = std::clamp(p.refusals - kRelief * relief, 0.0, kRefusalsMost);
 }
 
 // One failure proves little, nor do a few in a row where a part of the calls breaks: an outage fails most.
@@ -606,26 +609,22 @@
   }
 }
 
-// When a callback may go out at the earliest, as far as its paths have told, and when it would have to. While
-// they refuse, one over its tenant's share stands behind all others for good.
-std::pair<Millis, Millis> Rules::chanceOf(const Callback& c) const {
-  Millis opens = c.destination->ranking.empty() ? s_.now : c.outerLimit;
-  Millis latency = c.outerLimit;
-  for (const Endpoint* e : c.destination->ranking) {
-    if (!c.overShare || e->path->refusals <= 0)
-      opens = std::min(opens, std::max({s_.now, e->path->waitUntil, e->path->pauseUntil}));
-    latency = std::min(latency, usual(*e->path, type(c)).p50);
-  }
-  return {opens, c.destination->ranking.empty() ? c.outerLimit : c.outerLimit - latency};
+// The latest at which a launch of it may still be answered in time, by what its fastest path usually takes.
+Millis Rules::latestLaunch(const Callback& c) const {
+  Millis latest = c.destination->ranking.empty() ? c.outerLimit : -1;
+  for (const Endpoint* e : c.destination->ranking)
+    latest = std::max(latest, c.outerLimit - kChanceLeast * usual(*e->path, type(c)).p50);
+  return latest;
 }
 
 Decision Rules::shed(CallbackId id, Millis away) {
   return {Act::shed, over(id), {}, 0, terms_.shedAdvice ? std::min(away, terms_.longestAdvice) : 0};
 }
 
-// Danger: one that cannot be answered in time any more, kept to its outer limit, ends as given up without
-// ever having been tried, and its client hears of it when no other dispatcher can help. In a large fleet each
-// has few calls to a destination, and so many that wait in vain.
+// Danger: what waits in vain and never ran passes for given up, as if it had been tried. In a large fleet
+// each dispatcher has few calls to a destination, and many wait so. It is shed, once no launch can be
+// answered in time. Not before, though its path may be known to open too late: its client would come again
+// and push there.
 std::optional<Decision> Rules::dueAnswer() {
   for (const auto& [limit, id] : s_.outerLimits) {
     if (!reached(limit)) break;
@@ -639,9 +638,9 @@
     if (c == nullptr || c->over || !c->settled()) continue;
     if (!repeatAllowed(*c, nullptr)) return Decision{Act::giveUp, over(id), {}, 0, 0};
     if (anyMayHaveRun(*c)) continue;
-    auto [opens, by] = chanceOf(*c);
-    if (opens >= by) return shed(id, opens - s_.now);
-    s_.spentFrom.insert({std::min(by, s_.now + kUrgencyStep * type(*c).promised), id});
+    Millis latest = latestLaunch(*c);
+    if (s_.now >= latest) return shed(id, 0);
+    s_.spentFrom.insert({latest, id});
   }
   return std::nullopt;
 }
