--- a/src/adapter/host.cpp
+++ b/src/adapter/host.cpp
@@ -78,12 +78,8 @@
   Instance fresh;
   fresh.rules = std::make_unique<Rules>(readFacts(facts), seed);
   const auto reported = readHostFacts(facts).reported;
-  auto placeOf = [&](const char* name) {
-    auto at = std::find(reported.begin(), reported.end(), name);
-    return at == reported.end() ? kNowhere : static_cast<std::size_t>(at - reported.begin());
-  };
-  fresh.limitPlace = placeOf("x1");
-  fresh.leftPlace = placeOf("x0");
+  auto at = std::find(reported.begin(), reported.end(), "x1");
+  fresh.reportPlace = at == reported.end() ? kNowhere : static_cast<std::size_t>(at - reported.begin());
   instances_.insert_or_assign(who, std::move(fresh));
   std::erase(touched_, who);
   touch(who, now);
@@ -130,15 +126,13 @@
   });
 }
 
-void Host::report(wire::Reader& in, const Instance* instance, double& limit, double& left) {
+void Host::report(wire::Reader& in, const Instance* instance, double& limit) {
   limit = 0;
-  left = -1;
   auto n = in.get<std::uint8_t>("load");
   for (std::size_t place = 0; place < n; ++place) {
     double value = in.get<float>("load");
     if (instance == nullptr || !std::isfinite(value)) continue;
-    if (place == instance->limitPlace) limit = value;
-    if (place == instance->leftPlace) left = value;
+    if (place == instance->reportPlace) limit = value;
   }
 }
 
@@ -211,9 +205,8 @@
       Millis wait = in.get<std::uint32_t>("hold-ms");
       if (ending != Ending::full) wait = 0;  // with others it is no time
       double limit = 0;
-      double left = -1;
-      report(in, instance, limit, left);
-      tell([&](Rules& rules) { rules.launchEnded(id, launch, ending, spent, over, wait, limit, left); });
+      report(in, instance, limit);
+      tell([&](Rules& rules) { rules.launchEnded(id, launch, ending, spent, over, wait, limit); });
       break;
     }
     case wire::kProbeResult: {
@@ -221,8 +214,7 @@
       Ending ending = endingOf(in.get<std::uint16_t>("ending"));
       in.get<double>("spent-s");
       double limit = 0;
-      double left = -1;
-      report(in, instance, limit, left);
+      report(in, instance, limit);
       tell([&](Rules& rules) { rules.probeEnded(endpoint, ending, limit); });
       break;
     }
--- a/src/adapter/host.h
+++ b/src/adapter/host.h
@@ -29,8 +29,7 @@
   };
   struct Instance {
     std::unique_ptr<Rules> rules;
-    std::size_t limitPlace{};  // of "x1" among the reported values
-    std::size_t leftPlace{};   // of "x0"
+    std::size_t reportPlace{};  // of "x1" among the reported values
     bool failed{false};
   };
 
@@ -39,7 +38,7 @@
   void create(std::uint32_t who, std::uint64_t seed, std::string_view facts, Millis now);
   void rows(wire::Reader& in);
   void view(wire::Reader& in, Millis now);
-  static void report(wire::Reader& in, const Instance* instance, double& limit, double& left);
+  static void report(wire::Reader& in, const Instance* instance, double& limit);
   template <class Step>
   void guarded(std::uint32_t who, Step step);
 
--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -263,8 +263,8 @@
   }
 }
 
-double reportedIn(std::string_view report, const std::vector<std::string>& fields, std::string_view wanted) {
-  double found = -1;
+double limitIn(std::string_view report, const std::vector<std::string>& fields) {
+  double limit = 0;
   while (!report.empty()) {
     std::size_t comma = std::min(report.find(','), report.size());
     std::string_view item = report.substr(0, comma);
@@ -277,14 +277,10 @@
     bool known = std::find(fields.begin(), fields.end(), field) != fields.end();
     bool whole = error == std::errc() && end == number.data() + number.size();
     // Danger: noise taken for a limit. A report with any part that cannot be read tells nothing.
-    if (!known || !whole || !std::isfinite(value) || value < 0) return -1;
-    if (field == wanted) found = value;
+    if (!known || !whole || !std::isfinite(value) || value < 0) return 0;
+    if (field == "x1") limit = value;
   }
-  return found;
-}
-
-double limitIn(std::string_view report, const std::vector<std::string>& fields) {
-  return std::max(0.0, reportedIn(report, fields, "x1"));
+  return limit;
 }
 
 void Calls::tell(Line& line, Member& m, Ending ending, bool over, Millis wait) {
@@ -308,11 +304,9 @@
                               {"ending", nameOf(ending)},
                               {"spent_ms", loop_.now() - line.sent},
                               {"wait_ms", wait}});
-  std::string_view report = line.status() != 0 ? line.header("X-Load") : std::string_view();
-  double limit = limitIn(report, facts_.reported);
-  double left = reportedIn(report, facts_.reported, "x0");
+  double limit = line.status() != 0 ? limitIn(line.header("X-Load"), facts_.reported) : 0;
   bool isOver = ends || book_.find(m.callback) == nullptr;
-  rules_.launchEnded(m.callback, m.launch, ending, loop_.now() - line.sent, isOver, wait, limit, left);
+  rules_.launchEnded(m.callback, m.launch, ending, loop_.now() - line.sent, isOver, wait, limit);
   if (ends) book_.completed(m.callback);
 }
 
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -15,9 +15,7 @@
 
 namespace stonewing::net {
 
-// A field of a load report; -1 where it has none of the name or cannot be read.
-double reportedIn(std::string_view report, const std::vector<std::string>& fields, std::string_view wanted);
-// Its limit, in calls a second; 0 where it tells none or cannot be read.
+// The limit of a load report, in calls a second; 0 where it tells none or cannot be read.
 double limitIn(std::string_view report, const std::vector<std::string>& fields);
 
 // Carries launches and probes to endpoints over HTTP/1.1 and tells the rules how each ended.
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,7 +41,6 @@
 constexpr int kFailuresToAvoid = 2;    // of one endpoint while others of its destination work
 constexpr double kRefusalsMost = 4;    // doublings of the pause after refusals
 constexpr double kRelief = 0.35;       // of a doubling, taken back by a completion
-constexpr double kSpare = 0.15;        // of a limit, left over; with less told, completions add to the pause
 constexpr double kShutWait = 1.4;      // a told wait of so many fall spans is longer than any limit's span
 constexpr double kBlip = 2;            // fall spans without a completion that leave nothing cold
 constexpr double kShutSpans = 3;       // refusals alone for so many fall spans: shut
@@ -167,7 +166,7 @@
 }
 
 void Rules::launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool isOver, Millis wait,
-                        double limit, double left) {
+                        double limit) {
   Callback* c = s_.find(id);
   if (c == nullptr || launch >= static_cast<int>(c->launches.size()) || !c->launches[launch].out) return;
   Launch& l = c->launches[launch];
@@ -193,7 +192,7 @@
   bool worn = ending == Ending::reset && l.idle > 0 && spent < usual(p, type(*c)).p50;
   bool cutShort = ending == Ending::timeout && s_.now >= c->outerLimit;  // perhaps only sent late
   if (ending == Ending::completed) {
-    noteOk(p, e, l.sent, spent, left);
+    noteOk(p, e, l.sent, spent);
   } else if (ending == Ending::full) {
     noteRefusal(p, e, wait, l.sent);
   } else if (ending != Ending::withdrawn && ending != Ending::notSent && !worn &&
@@ -306,7 +305,7 @@
   lookAgain(p);
 }
 
-void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent, double left) {
+void Rules::noteOk(Path& p, Endpoint& e, Millis sent, Millis spent) {
   bool enough = p.samples.kept.size() >= kEnoughPooled;
   if (enough && spent > kLate * p.samples.usual.p95) {
     cut(p, sent);
@@ -330,8 +329,7 @@
   if (std::exchange(p.outage, false)) lookAgain(p);
   p.okShare += kOkSharePart * (1 - p.okShare);
   p.refusedSince = -1;
-  double relief = left < 0 ? 1 : std::clamp(left / kSpare - 1, -1.0, 1.0);
-  if (sent >= p.refusedAt) p.refusals = std::clamp(p.refusals - kRelief * relief, 0.0, kRefusalsMost);
+  if (sent >= p.refusedAt) p.refusals = std::max(0.0, p.refusals - kRelief);
 }
 
 // One failure proves little, nor do a few in a row where a part of the calls breaks: an outage fails most.
--- a/src/rules.h
+++ b/src/rules.h
@@ -35,10 +35,9 @@
     Callback* c = s_.find(id);
     if (c != nullptr && launch < static_cast<int>(c->launches.size())) c->started = true;
   }
-  // limit: what the endpoint reports of its limit, in calls a second; 0 where it reports none. left: the
-  // share of it that is left; -1 where it reports none.
+  // limit: what the endpoint reports of its limit, in calls a second; 0 where it reports none.
   void launchEnded(CallbackId id, int launch, Ending ending, Millis spent, bool over, Millis wait,
-                   double limit, double left = -1);
+                   double limit);
   void probeEnded(EndpointId id, Ending ending, double limit);
   void clientGone(CallbackId id) { over(id); }
   // Also when it comes a rounding early: then what is due is asked for again.
@@ -70,7 +69,7 @@
   void lookAgain(const Path& p);
   void outageBegins(Path& p, bool told);
   void returned(Path& p);
-  void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent, double left);
+  void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
   void noteFailure(Path& p, Endpoint& e, Millis sent, Ending ending);
   void noteRefusal(Path& p, Endpoint& e, Millis wait, Millis sent);
   double shareTold(const Path& p) const;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -749,8 +749,15 @@
   std::string late;
   EXPECT_TRUE(within(9000, [&] { return (late = node.ask(command({"PING"}))) == "+PONG\r\n"; }));
   for (int fd : idle) ::close(fd);
-  // A client that has not waited hands it in elsewhere: it is not taken on.
+  // A client that has not waited hands it in elsewhere: it is not taken on. Stopped, the dispatcher finds the
+  // command and the end behind it at the same time.
+  ::kill(node.pid, SIGSTOP);
+  std::thread later([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    ::kill(node.pid, SIGCONT);
+  });
   EXPECT_EQ(node.ask(submit("left", list), 1, true), "-BUSY\r\n");
+  later.join();
   // No room on disk for two of these at any time.
   EXPECT_EQ(
       node.ask(submit("big", list, std::string(65000, 'x')) + submit("big2", list, std::string(65000, 'x')),
