The pace follows the share left more slowly, and what a dispatcher was asked to bring

Seen: with 0.1 of a doubling an answer calls at destination 4 (limit 117, herd+vast) went 96, 115, 134 a second within two seconds of room, then 115 of 107 were refused in one. Lines at fault: noteReport and paceGap in src/rules.cpp.

Change: 0.05 an answer; the gap goes by our part of the capacity (even, or half of what we were asked to bring).

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,7 +48,7 @@
 constexpr double kPauseFirst = 0.75;   // of the gap that our part of the limit leaves
 constexpr double kUnknownGap = 0.16;   // that gap where no limit is told, in p50 for each instance
 constexpr double kPaceDepth = 1;       // calls at our part of a told limit that may go ahead of their time
-constexpr double kPaceStep = 0.1;      // halvings of it by an answer after which nothing or all is left
+constexpr double kPaceStep = 0.05;      // halvings of it by an answer after which nothing or all is left
 constexpr double kPaceLeft = 0.5;      // the share left at which all together use the limit well
 constexpr double kPaceRefused = 0.5;   // and by a refusal
 constexpr double kPaceEase = 1;        // fall spans that take back one halving
@@ -401,7 +401,7 @@
   if (p.pace > 0) p.pace = std::max(0.0, p.pace - since / (kPaceEase * terms_.fallSpan));
 }
 
-Millis Rules::paceGap(const Path& p) const { return 1000 * std::exp2(p.pace) / std::max(1e-9, shareTold(p)); }
+Millis Rules::paceGap(const Path& p) const { return 1000 * std::exp2(p.pace) / shareOfCapacity(p); }
 
 // Our even part of the limit that is told, in calls a second; 0 where none is.
 double Rules::shareTold(const Path& p) const {
