Discovery that turns calls away is asked again later, spread by chance, for changes only

Cause: seen on herd+vast, counted over all logs. From 15 s to the end the new endpoints of destination 2 (limit 67) got 1 to 6 calls a second with 0.9 of the limit left, while its old ones refused ("full" without a report) or were gone ("connect_failed") and 20 to 65 of 60 callbacks a second were shed: few dispatchers knew the new list. "list.unreadable why="status 503" kept=14" stands 171 times at 2 s and again at 13 s, then about 68 times a second to the end; single dispatchers have it at 20.605, 21.789, 22.973, 24.157 s. All begin together, with pauses of 50 ms to 1 s that have no chance in them, and ask for the whole list after each (catalog.cpp, later() and the whole_ of answered()); 100 calls a second is more than discovery takes, and each is one more. Ruled out: lists that came and were not used (no such line, and who had it launched there at once); the limit of the new endpoints (share left).

Change: a 503 is no unreadable list: the next question goes on from the version at hand, after 0.5 to 4 s times 0.5 to 1.5 by chance, and watches double to 16 s at most, since the end of each is one more call.

The test among stand-ins fails before: seven questions in two seconds, six for whole lists.

--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -16,10 +16,15 @@
 using nlohmann::json;
 
 // What is to be told counts as told some seconds later, heard or not: a watch that died unseen must not last.
-constexpr int kWatchMillis = 2000;
-constexpr Millis kOutlasts = 500;  // a watch not answered so long after its time will not be
+constexpr Millis kWatchFirst = 2000;
+constexpr Millis kWatchMost = 16000;  // and where discovery turns calls away: each end of a watch is one more
+constexpr Millis kOutlasts = 500;     // a watch not answered so long after its time will not be
 constexpr Millis kPauseFirst = 50;
 constexpr Millis kPauseMost = 1000;
+// Turned away, it is overbooked: by hundreds that began or lost their watch at once, and would come again at
+// once for ever. What it has to tell counts as told after 6 s, so no pause is longer.
+constexpr Millis kTurnedAwayFirst = 500;
+constexpr Millis kTurnedAwayMost = 4000;
 constexpr std::size_t kAnswerMost = 1024 * 1024;
 
 Phase phaseOf(const std::string& state) {
@@ -62,8 +67,15 @@
 
 }  // namespace
 
-Catalog::Catalog(Loop& loop, Rules& rules, const HostFacts& facts, sockaddr_in discovery, std::string host)
-    : loop_(loop), rules_(rules), facts_(facts), discovery_(discovery), host_(std::move(host)) {}
+Catalog::Catalog(Loop& loop, Rules& rules, const HostFacts& facts, sockaddr_in discovery, std::string host,
+                 std::uint64_t seed)
+    : loop_(loop),
+      rules_(rules),
+      facts_(facts),
+      discovery_(discovery),
+      host_(std::move(host)),
+      watch_(kWatchFirst),
+      chance_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {}
 
 // The same number for a name at every dispatcher and after every restart, so that rankings stay as they are.
 EndpointId Catalog::idOf(const std::string& name) {
@@ -124,10 +136,11 @@
   out_ = false;
   whole_ = true;  // the version of another teller says nothing of what was missed
   pause_ = 0;
+  watch_ = kWatchFirst;
   notBefore_ = loop_.now();
 }
 
-Millis Catalog::due() const { return out_ ? since_ + kWatchMillis + kOutlasts : notBefore_; }
+Millis Catalog::due() const { return out_ ? since_ + watch_ + kOutlasts : notBefore_; }
 
 void Catalog::tick() {
   if (loop_.now() < due()) return;
@@ -142,11 +155,12 @@
   if (!link_ || !link_->isOpen() || !link_->stillGood()) {
     if (link_) loop_.bury(std::move(link_));
     link_ = std::make_unique<HttpLink>(loop_, *this, kAnswerMost);
-    if (!link_->open(discovery_)) return later();
+    if (!link_->open(discovery_)) return later(kPauseFirst, kPauseMost);
   }
   std::string target = "/catalog/members";
   if (!whole_) {
-    target += "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string(kWatchMillis);
+    target += "?since=" + std::to_string(version_) +
+              "&timeout_ms=" + std::to_string(static_cast<std::int64_t>(watch_));
   }
   link_->add("GET " + target + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n");
   link_->begin();
@@ -156,6 +170,12 @@
 
 void Catalog::answered(HttpLink& link) {
   out_ = false;
+  if (link.status() == 503) {  // nothing is wrong with the list it goes on from
+    log::info("list.turned_away", {{"tries", ++turnedAway_}, {"kept", sites_.size()}});
+    watch_ = std::min(2 * watch_, kWatchMost);
+    return later(kTurnedAwayFirst, kTurnedAwayMost);
+  }
+  turnedAway_ = 0;
   try {
     if (link.status() != 200) throw Malformed("status " + std::to_string(link.status()));
     const json answer = json::parse(link.body(), nullptr, false);
@@ -167,18 +187,19 @@
   } catch (const Malformed& problem) {
     log::warn("list.unreadable", {{"why", problem.what()}, {"kept", sites_.size()}});
     whole_ = true;
-    later();
+    later(kPauseFirst, kPauseMost);
   }
 }
 
 void Catalog::broke(HttpLink& link) {
   link.close();
-  if (std::exchange(out_, false)) later();
+  if (std::exchange(out_, false)) later(kPauseFirst, kPauseMost);
 }
 
-void Catalog::later() {
-  pause_ = std::clamp(2 * pause_, kPauseFirst, kPauseMost);
-  notBefore_ = loop_.now() + pause_;
+// Spread by chance: dispatchers that failed together must not come again together.
+void Catalog::later(Millis first, Millis most) {
+  pause_ = std::clamp(2 * pause_, first, most);
+  notBefore_ = loop_.now() + pause_ * std::uniform_real_distribution<double>(0.5, 1.5)(chance_);
 }
 
 }  // namespace stonewing::net
--- a/src/net/catalog.h
+++ b/src/net/catalog.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -21,7 +22,8 @@
 // Which endpoints there are, as discovery tells it: a list to start from, then a watch that goes on and on.
 class Catalog : public HttpLink::Owner {
  public:
-  Catalog(Loop& loop, Rules& rules, const HostFacts& facts, sockaddr_in discovery, std::string host);
+  Catalog(Loop& loop, Rules& rules, const HostFacts& facts, sockaddr_in discovery, std::string host,
+          std::uint64_t seed);
 
   // Tells the rules a list, or changes. Throws Malformed and tells nothing where it cannot be read.
   void told(const nlohmann::json& answer);
@@ -47,7 +49,7 @@
   void answered(HttpLink& link) override;
   void broke(HttpLink& link) override;
   void ask();
-  void later();
+  void later(Millis first, Millis most);
 
   Loop& loop_;
   Rules& rules_;
@@ -59,6 +61,9 @@
   Millis since_{0};
   Millis notBefore_{0};
   Millis pause_{0};
+  Millis watch_;       // how long discovery may keep a question until there is something new
+  int turnedAway_{0};  // times in a row
+  std::mt19937 chance_;
   bool whole_{false};  // the next question is for the whole list
   std::int64_t version_{0};
   bool heard_{false};  // discovery itself has told a list or changes
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -667,6 +667,21 @@
   EXPECT_EQ(node.end(SIGTERM), 0);
 }
 
+// Danger: hundreds that begin at once overbook discovery, and asked again at once, for whole lists, it stays so.
+TEST(Node, AsksADiscoveryThatTurnsItAwaySeldomAndForChangesOnly) {
+  StandIn world([](const std::string& head, const std::string& body) -> std::string {
+    if (head.starts_with("GET /catalog")) return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    return platform(head, body);
+  });
+  world.start();
+  Node node(kSettings, row(world), world.address());
+  ASSERT_TRUE(node.start());
+  std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+  EXPECT_GE(world.count("GET /catalog"), 2u);
+  EXPECT_LE(world.count("GET /catalog"), 4u);
+  EXPECT_EQ(world.count("GET /catalog/members HTTP"), 0u);
+}
+
 // Danger: answers that never become whole hold calls until their time-outs.
 TEST(Node, WaitsForNoRestThatDoesNotCome) {
   StandIn endpoint([](auto&, auto&) { return "HTTP/1.1 500 Oh\r\nContent-Length: 9\r\n\r\nshort"; });
