New paths begin their pace by chance; the pace goes by the even part alone, 14 s at most

Change: a path that is new begins with a part of that, drawn; the gap is that of the even part, and a report that reads as a limit near nothing keeps a path for a cold span at most; a path with no weight told is not paced before a report.

--- a/src/core/state.h
+++ b/src/core/state.h
@@ -121,8 +121,8 @@
   Millis lastCut{0};
   Millis waitUntil{0};
   Millis pauseUntil{0};
-  Millis paceUntil{0};  // no call before, so that all together keep to a limit that is told
-  double pace{0};       // halvings of our even part of that limit; below 0 doublings
+  Millis paceUntil{-1};  // no call before, so that all together keep to a limit that is told
+  double pace{0};        // halvings of our even part of that limit; below 0 doublings
   Millis paceEased{0};
   double refusals{0};       // doublings of the pause
   Millis refusedSince{-1};  // since then nothing completed
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -48,7 +48,7 @@
 constexpr double kPauseFirst = 0.75;   // of the gap that our part of the limit leaves
 constexpr double kUnknownGap = 0.16;   // that gap where no limit is told, in p50 for each instance
 constexpr double kPaceDepth = 1;       // calls at our part of a told limit that may go ahead of their time
-constexpr double kPaceStep = 0.05;      // halvings of it by an answer after which nothing or all is left
+constexpr double kPaceStep = 0.05;     // halvings of it by an answer after which nothing or all is left
 constexpr double kPaceLeft = 0.5;      // the share left at which all together use the limit well
 constexpr double kPaceRefused = 0.5;   // and by a refusal
 constexpr double kPaceEase = 1;        // fall spans that take back one halving
@@ -127,6 +127,9 @@
     if (e.path->outage || e.failures > 0) s_.trials.insert(id);
   }
   s_.rooms.listEnds(s_.now);
+  for (auto& [id, p] : s_.paths) {  // most may have started at this instant: they begin spread by chance
+    if (p.paceUntil < 0 && paced(p)) p.paceUntil = std::max(0.0, s_.now - draw() * kPaceDepth * paceGap(p));
+  }
   // Fixed for each destination; the own zone goes first, since crossing zones takes time and is priced.
   auto place = [&](const Endpoint* e) {
     return std::tuple(s_.rooms.tier(e->destination->id, e->zone), mix(e->id.value ^ mix(terms_.me)), e->id);
@@ -401,7 +404,10 @@
   if (p.pace > 0) p.pace = std::max(0.0, p.pace - since / (kPaceEase * terms_.fallSpan));
 }
 
-Millis Rules::paceGap(const Path& p) const { return 1000 * std::exp2(p.pace) / shareOfCapacity(p); }
+// Danger: noise that reads as a limit near nothing would keep a path shut; no gap is longer than a cold span.
+Millis Rules::paceGap(const Path& p) const {
+  return std::min(terms_.coldSpan, 1000 * std::exp2(p.pace) / std::max(1e-9, shareTold(p)));
+}
 
 // Our even part of the limit that is told, in calls a second; 0 where none is.
 double Rules::shareTold(const Path& p) const {
--- a/src/rules.h
+++ b/src/rules.h
@@ -73,7 +73,7 @@
   void easePace(Path& p);
   // Whether a limit binds there that is known: from then on calls keep their distance before any refusal.
   bool paced(const Path& p) const {
-    return p.limitTold > 0 || (p.limitTold < 0 && terms_.limitReported && terms_.weightsTold);
+    return (p.limitTold > 0 || (p.limitTold < 0 && terms_.limitReported)) && shareTold(p) > 0;
   }
   Millis paceGap(const Path& p) const;
   void noteFailure(Path& p, Endpoint& e, Millis sent, Ending ending);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -667,7 +667,8 @@
   EXPECT_EQ(node.end(SIGTERM), 0);
 }
 
-// Danger: hundreds that begin at once overbook discovery, and asked again at once, for whole lists, it stays so.
+// Danger: hundreds that begin at once overbook discovery, and asked again at once, for whole lists, it stays
+// so.
 TEST(Node, AsksADiscoveryThatTurnsItAwaySeldomAndForChangesOnly) {
   StandIn world([](const std::string& head, const std::string& body) -> std::string {
     if (head.starts_with("GET /catalog")) return "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -611,6 +611,30 @@
   }
 }
 
+// Danger: most dispatchers start at one instant, and each sends at once all that the pace lets go ahead.
+TEST(Limits, BeginUnlikeEachOtherAtAPathThatIsNew) {
+  DeploymentTerms terms = plainTerms();
+  terms.limitReported = terms.weightsTold = true;
+  int single = 0, both = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Rules rules(terms, seed);
+    rules.roundBegins(100000);
+    rules.listBegins();
+    rules.listed(endpoint(1), DestinationId{1}, KindId{0}, ZoneId{0}, 1, Phase::ready);
+    rules.listEnds(true);
+    int launches = 0;
+    for (std::uint32_t id = 1; id <= 4; ++id) {
+      rules.taken(CallbackId{id}, TrafficTypeId{0}, TenantId{0}, KeyId{0}, DestinationId{1}, 110000);
+    }
+    while (auto d = rules.next()) launches += d->act == Act::launch ? 1 : 0;
+    rules.roundBegins(101500);  // half of our gap later
+    while (auto d = rules.next()) launches += d->act == Act::launch ? 1 : 0;
+    (launches == 1 ? single : both) += 1;
+  }
+  EXPECT_GT(single, 8);
+  EXPECT_GT(both, 8);
+}
+
 // Danger: an endpoint that drains before the list tells it refuses what comes, and with that counted against
 // the limit of the destination its other endpoints get less.
 TEST(Limits, ARefusalThatReportsNoLimitTellsOfTheEndpointAlone) {
