A report from an endpoint that has gone is no longer read off its path's empty list

Cause: read again, noteReport() asked p.endpoints.front() for the calls it takes. The list names only what is ready, so a late answer of the last endpoint of a path that was taken off read an element that is not there: chance, at worst a crash. Beside it: the gap was worked out twice a launch, and the count of times turned away was kept for a log line alone.

Change: the endpoint that answered is asked; the gap once; list.turned_away tells the pause instead. The sanitized tests check the library's own bounds too (_GLIBCXX_ASSERTIONS), by which the new test is meant to fail without the fix.

--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -171,11 +171,10 @@
 void Catalog::answered(HttpLink& link) {
   out_ = false;
   if (link.status() == 503) {  // nothing is wrong with the list it goes on from
-    log::info("list.turned_away", {{"tries", ++turnedAway_}, {"kept", sites_.size()}});
     watch_ = std::min(2 * watch_, kWatchMost);
-    return later(kTurnedAwayFirst, kTurnedAwayMost);
+    later(kTurnedAwayFirst, kTurnedAwayMost);
+    return log::info("list.turned_away", {{"after_ms", notBefore_ - loop_.now()}, {"kept", sites_.size()}});
   }
-  turnedAway_ = 0;
   try {
     if (link.status() != 200) throw Malformed("status " + std::to_string(link.status()));
     const json answer = json::parse(link.body(), nullptr, false);
--- a/src/net/catalog.h
+++ b/src/net/catalog.h
@@ -61,8 +61,7 @@
   Millis since_{0};
   Millis notBefore_{0};
   Millis pause_{0};
-  Millis watch_;       // how long discovery may keep a question until there is something new
-  int turnedAway_{0};  // times in a row
+  Millis watch_;  // how long discovery may keep a question until there is something new
   std::mt19937 chance_;
   bool whole_{false};  // the next question is for the whole list
   std::int64_t version_{0};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -192,7 +192,7 @@
     s_.idleTrusted = std::min(terms_.connectionIdle, kTrustGrowth * s_.idleTrusted);
   }
   s_.idleTrusted = std::max(s_.idleTrusted, leastTrust);
-  noteReport(p, report);
+  noteReport(p, e, report);
   bool own = ending == Ending::full && report.limit < 0 && p.limitTold >= 0 && wait <= 0;  // not by the limit
   p.waitUntil = std::max(p.waitUntil, s_.now + wait);  // also where only some of a call were refused
   // Sooner than any answer, on a kept connection: that one had ended, which tells nothing of the endpoint.
@@ -378,7 +378,7 @@
   Path& p = *at->second.path;
   p.probeOut = false;
   lookAgain(p);
-  noteReport(p, report);
+  noteReport(p, at->second, report);
   if (ending != Ending::completed) {
     p.told = true;
     s_.failing(at->second, at->second.failures + 1);
@@ -389,12 +389,13 @@
   }
 }
 
-void Rules::noteReport(Path& p, Report report) {
+// Danger: the answer may come from an endpoint that has gone, and its path have none left by then.
+void Rules::noteReport(Path& p, const Endpoint& e, Report report) {
   if (report.limit < 0) return;
   p.limitTold = report.limit;
   easePace(p);
   if (report.limit <= 0 || report.left < 0) return;
-  double least = perCall(*p.endpoints.front()) > 1 ? 0 : -kRefusalsMost;
+  double least = perCall(e) > 1 ? 0 : -kRefusalsMost;
   p.pace += kPaceStep * (kPaceLeft - std::min(1.0, report.left)) / kPaceLeft;
   p.pace = std::clamp(p.pace, least, kRefusalsMost);
 }
@@ -584,7 +585,8 @@
     pushed(p);
     easePace(p);
     if (paced(p)) {
-      p.paceUntil = std::max(p.paceUntil, s_.now - kPaceDepth * paceGap(p)) + paceGap(p);
+      Millis gap = paceGap(p);
+      p.paceUntil = std::max(p.paceUntil, s_.now - kPaceDepth * gap) + gap;
     } else if (p.refusals > 0) {
       p.pauseUntil = std::max(p.pauseUntil, s_.now + pause(p));
     }
--- a/src/rules.h
+++ b/src/rules.h
@@ -69,7 +69,7 @@
   void outageBegins(Path& p, bool told);
   void returned(Path& p);
   void noteOk(Path& p, Endpoint& e, Millis sent, Millis spent);
-  void noteReport(Path& p, Report report);
+  void noteReport(Path& p, const Endpoint& e, Report report);
   void easePace(Path& p);
   // Whether a limit binds there that is known: from then on calls keep their distance before any refusal.
   bool paced(const Path& p) const {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -654,6 +654,20 @@
   EXPECT_LE(bed.rules.state().paths.begin()->second.pace, 0);
 }
 
+// Danger: a report is read by what its path's first endpoint is, and the path has none any more.
+TEST(Limits, AReportMayComeFromTheLastEndpointAfterItHasGone) {
+  DeploymentTerms terms = plainTerms();
+  terms.kinds[0].perCall = 5;
+  Bed bed(terms, 1);
+  bed.take(1);
+  Decision last = bed.pull(Act::launch).at(0);
+  bed.rules.listBegins();
+  bed.rules.listEnds(true);
+  bed.rules.launchEnded(last.callback, last.launch, Ending::completed, 100, true, 0, {4, 1});
+  EXPECT_EQ(bed.rules.state().paths.begin()->second.pace,
+            0);  // a call of several never goes above the even part
+}
+
 TEST(Batches, CallbacksOfOneRoundShareACallAndASlot) {
   DeploymentTerms terms = plainTerms();
   terms.kinds[0].perCall = 5;
