Calls of several are called off as a whole, and begin with the one that ends last

Each lost group (10 followed) was the rest of a call whose FIRST line's callback had ended before the answer; calls where another one had ended were not lost.

Lines at fault: Calls::withdraw and Calls::look told the end of one callback while the call stayed open for the others.

Now (src/net/calls.cpp): flush() sorts a call by the time left; one callback's withdrawal waits until the whole call can be called off, its time is up or the answer comes; a call whose first one ended by another launch is broken off. May harm: a callback that could be repeated waits for one in its call that may not.

--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -66,6 +66,11 @@
   for (auto& [call, gathered] : std::exchange(gathered_, {})) {
     auto& [endpoint, members] = gathered;
     Line& line = lineTo(endpoint);
+    // Danger: endpoints book a call of several under its first callback. Where that one ended while the call
+    // waited there, the others passed for never delivered, though the answer said ok for each. The one with
+    // most time left stands first: it ends last.
+    std::stable_sort(members.begin(), members.end(),
+                     [](const Member& a, const Member& b) { return a.due > b.due; });
     line.members = std::move(members);
     line.sent = loop_.now();
     for (const Member& m : line.members) {
@@ -227,12 +232,30 @@
   Line& line = *at->second;
   for (Member& m : line.members) {
     if (m.callback != d.callback || m.launch != d.launch || m.told) continue;
+    m.off = keepsCall(line, m);
+    if (m.off) break;
     tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::withdrawn) : Ending::notSent, false, 0);
     break;
   }
   if (calledOff(line)) release(line);
 }
 
+// Until when a callback is to be delivered, whatever its launch may take.
+Millis Calls::timeUp(const Member& m) const {
+  auto at = rules_.state().callbacks.find(m.callback);
+  return at == rules_.state().callbacks.end() || at->second.over ? 0 : at->second.outerLimit;
+}
+
+// Danger: one callback of a call cannot be called off alone; the call stays out at the endpoint for the
+// others. Told as withdrawn it would be launched again beside it: a second copy, which not every deployment
+// allows, and an end by its other launch while this one is out. It is told with the call, or once its time is
+// up.
+bool Calls::keepsCall(const Line& line, const Member& m) const {
+  auto waits = [&](const Member& o) { return &o != &m && !o.told && !o.off; };
+  return line.lastByteWritten() && loop_.now() < timeUp(m) &&
+         std::any_of(line.members.begin(), line.members.end(), waits);
+}
+
 // Whether a call has nothing left to wait for, now that the end of one of its callbacks was told. Danger: of
 // one that is half written the rest would still go out, for a callback that is over or was told as never
 // sent. Broken off now it has run for none.
@@ -242,6 +265,15 @@
   if (halfWritten && std::any_of(line.members.begin(), line.members.end(), told)) {
     tellAll(line, Ending::notSent);
   }
+  // Danger: its first callback may also end by another launch, and the endpoint still answers ok for the
+  // rest, which counts for none of them. Called off with it they may go out again.
+  auto done = [](const Member& m) { return m.told || m.off; };
+  bool first = !line.members.empty() && line.members.front().told;
+  if (line.lastByteWritten() && (first || std::all_of(line.members.begin(), line.members.end(), done))) {
+    for (Member& m : line.members) {
+      if (!m.told) tell(line, m, unanswered(line, Ending::withdrawn), false, 0);
+    }
+  }
   return !line.members.empty() && std::all_of(line.members.begin(), line.members.end(), told);
 }
 
@@ -466,7 +498,11 @@
   }
   for (Member& m : line.members) {
     // A connection that never came up has launched nothing, and its time was not up either: not sent.
-    if (!m.told && loop_.now() >= m.due) {
+    if (m.told || loop_.now() < m.due) continue;
+    m.off = m.off || keepsCall(line, m);
+    if (m.off && loop_.now() < timeUp(m)) {
+      m.due = timeUp(m);
+    } else {
       tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::timeout) : Ending::notSent, false, 0);
     }
   }
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -44,6 +44,7 @@
     Millis due{};
     std::string ref;
     bool told{false};  // its end was told; the call may go on for others
+    bool off{false};   // called off, and told once the whole call can be
   };
   struct Line : HttpLink {
     using HttpLink::HttpLink;
@@ -72,6 +73,8 @@
   void tellAll(Line& line, Ending ending, bool over = false, Millis wait = 0);
   void readMany(Line& line, Millis wait);
   bool calledOff(Line& line);
+  bool keepsCall(const Line& line, const Member& member) const;
+  Millis timeUp(const Member& member) const;
   void release(Line& line);
   // A line has changed: when it is to be looked at, and whether it stands idle, is noted anew.
   void settle(Line& line);
--- /dev/null
+++ b/tests/calls_test.cpp
@@ -0,0 +1,164 @@
+// Calls of several callbacks, with the rules, the book and the loop of a dispatcher around them and an
+// endpoint that the test answers for. Withdrawals are handed in as decisions, so that the outcome does not
+// hang on the clock.
+#include "net/calls.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "bench_free.h"
+#include "core/facts.h"
+#include "net/book.h"
+#include "net/catalog.h"
+
+namespace stonewing::testing {
+namespace {
+
+const char* kSettings = R"({"request-classes":[
+    {"name":"status","aim-s":1,"deadline-s":10,"effect":"safe"},
+    {"name":"order","aim-s":1,"deadline-s":10,"effect":"unsafe"}],
+  "family-info":{"call-slots":6,"per-call":[20]},"kinds":["many"],"zones":["a"],
+  "limits":{"open-cap":50,"max-attempts":5,"cancel":true,"may-duplicate":false,"conn-idle-s":10,"connect-timeout-s":1.5},
+  "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
+
+// One call to one endpoint, which reads it and says nothing until it is told to.
+struct Desk {
+  Folder folder;
+  int listener = loopback(0, true);
+  int far = -1;
+  net::Loop loop;
+  DeploymentTerms terms = readFacts(kSettings);
+  HostFacts facts = readHostFacts(kSettings);
+  Rules rules{terms, 7};
+  net::Book book{facts, folder.path.string(), 3'000'000};
+  net::Catalog catalog{loop, rules, facts, *net::addressOf("127.0.0.1:9"), "nowhere", 1};
+  net::Calls calls{loop, rules, book, catalog, terms, facts, 64};
+  std::string got;  // by the endpoint
+  std::map<std::string, CallbackId> ids;
+
+  Desk() {
+    rules.roundBegins(loop.now());
+    catalog.told(nlohmann::json::parse(
+        R"({"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
+        std::to_string(portOf(listener)) +
+        R"(","zone":"a","kind":"many","cell":7,"state":"in_service","weight":1.0,"started_ms":0}]})"));
+  }
+  ~Desk() {
+    if (far >= 0) ::close(far);
+    ::close(listener);
+  }
+  void take(const std::string& ref, const std::string& type, Millis left) {
+    net::Held held = book.decode("00", ref, "c=" + type + ",d=1,dest=7", "x", 0);
+    ids[ref] = *book.take(std::move(held));
+    const net::Held* kept = book.find(ids[ref]);
+    rules.taken(ids[ref], kept->type, {}, {}, DestinationId{7}, loop.now() + left);
+  }
+  void turn() {
+    loop.wait(loop.now() + 5);
+    rules.roundBegins(loop.now());
+    loop.dispatch();
+    calls.tick();
+  }
+  // What is held goes out in one call, and the endpoint has read it.
+  bool sent(const std::string& lastBytes) {
+    while (auto d = rules.next()) {
+      if (d->act == Act::launch) calls.launch(*d);
+    }
+    calls.flush();
+    book.commit();
+    calls.send();
+    far = ::accept(listener, nullptr, nullptr);
+    return within(2000, [&] {
+      turn();
+      char chunk[4096];
+      ssize_t n = ::recv(far, chunk, sizeof chunk, MSG_DONTWAIT);
+      if (n > 0) got.append(chunk, static_cast<std::size_t>(n));
+      return got.ends_with(lastBytes);
+    });
+  }
+  void callOff(const std::string& ref) { calls.withdraw({Act::withdraw, ids[ref], {}, 0, 0}); }
+  bool out(const std::string& ref) const {
+    const auto& held = rules.state().callbacks;
+    auto at = held.find(ids.at(ref));
+    return at != held.end() && at->second.launches.at(0).out;
+  }
+  // Whether the endpoint sees the end of the connection.
+  bool closed() const {
+    char byte;
+    return ::recv(far, &byte, 1, MSG_DONTWAIT) == 0;
+  }
+};
+
+// Seen on roll+brink+mass and zone+brink+mass: "callback.ended result=given_up" for the first of seven, then
+// ok for all seven, and six that passed for never ended.
+TEST(CallsOfSeveral, BeginWithTheOneThatEndsLast) {
+  Desk desk;
+  desk.take("soon", "status", 400);
+  desk.take("last", "status", 9000);
+  desk.take("then", "order", 2000);
+  ASSERT_TRUE(desk.sent("soon - 1\r\nx\r\n"));
+  std::size_t body = desk.got.find("\r\n\r\n") + 4;
+  EXPECT_EQ(desk.got.substr(body), "last - 1\r\nx\r\nthen - 1\r\nx\r\nsoon - 1\r\nx\r\n");
+}
+
+// Seen on roll+brink+mass of a deployment that allows no second copy: "launch.ended launch=1
+// ending=withdrawn" out of a call of six, "launch.sent launch=2" 345 ms later, the other five answered on the
+// first call after that.
+TEST(CallsOfSeveral, AreCalledOffAsAWholeOrNotAtAll) {
+  Desk desk;
+  for (const char* ref : {"one", "two", "three"}) desk.take(ref, "status", 9000);
+  ASSERT_TRUE(desk.sent("three - 1\r\nx\r\n"));
+  desk.callOff("two");
+  EXPECT_TRUE(desk.out("two"));
+  desk.callOff("one");
+  EXPECT_TRUE(desk.out("one"));
+  desk.turn();
+  EXPECT_FALSE(desk.closed());
+  desk.callOff("three");
+  for (const char* ref : {"one", "two", "three"}) EXPECT_FALSE(desk.out(ref)) << ref;
+  EXPECT_TRUE(within(1000, [&] { return desk.closed(); }));
+}
+
+TEST(CallsOfSeveral, AnswerForOneThatWasToBeCalledOffToo) {
+  Desk desk;
+  desk.take("one", "status", 9000);
+  desk.take("two", "status", 9000);
+  ASSERT_TRUE(desk.sent("two - 1\r\nx\r\n"));
+  desk.callOff("two");
+  put(desk.far, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\none ok\r\ntwo ok\r\n");
+  ASSERT_TRUE(within(1000, [&] {
+    desk.turn();
+    return !desk.out("one");
+  }));
+  EXPECT_EQ(desk.book.held().size(), 0u);
+}
+
+// One whose time is up ends at once; the rest of the call goes on.
+TEST(CallsOfSeveral, GoOnWhenTheTimeOfOneIsUp) {
+  Desk desk;
+  desk.take("long", "order", 9000);
+  desk.take("short", "status", 400);
+  ASSERT_TRUE(desk.sent("short - 1\r\nx\r\n"));
+  ASSERT_TRUE(within(1000, [&] {
+    desk.turn();
+    return !desk.out("short");
+  }));
+  EXPECT_TRUE(desk.out("long"));
+  EXPECT_FALSE(desk.closed());
+}
+
+// The first one may end by another launch. The rest cannot be delivered by this call any more.
+TEST(CallsOfSeveral, EndWithTheirFirst) {
+  Desk desk;
+  desk.take("first", "status", 9000);
+  desk.take("second", "status", 8000);
+  ASSERT_TRUE(desk.sent("second - 1\r\nx\r\n"));
+  desk.rules.clientGone(desk.ids["first"]);
+  desk.callOff("first");
+  EXPECT_FALSE(desk.out("second"));
+  EXPECT_TRUE(within(1000, [&] { return desk.closed(); }));
+}
+
+}  // namespace
+}  // namespace stonewing::testing
