--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -154,6 +154,9 @@
 
 // What goes out, of those that are in the call by now: only once its connection is up.
 void Calls::write(Line& line) {
+  for (const Member& m : line.members)
+    log::debug("launch.written",
+               {{"callback", m.ref}, {"launch", m.launch}, {"together", line.members.size()}});
   Millis latest = loop_.now();
   for (const Member& m : line.members) latest = std::max(latest, m.due);
   std::string common = "Host: " + catalog_.find(line.endpoint)->authority + "\r\nX-Deadline-Ms: " +
@@ -233,6 +236,7 @@
   for (Member& m : line.members) {
     if (m.callback != d.callback || m.launch != d.launch || m.told) continue;
     m.off = keepsCall(line, m);
+    if (m.off) log::debug("launch.to_be_called_off", {{"callback", m.ref}, {"launch", m.launch}});
     if (m.off) break;
     tell(line, m, line.lastByteWritten() ? unanswered(line, Ending::withdrawn) : Ending::notSent, false, 0);
     break;
--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -25,7 +25,8 @@
 // once for ever. What it has to tell counts as told after 6 s, so no pause is longer.
 constexpr Millis kTurnedAwayFirst = 500;
 constexpr Millis kTurnedAwayMost = 4000;
-constexpr std::size_t kAnswerMost = 1024 * 1024;
+// Room for thousands of endpoints, indented and with fields that we do not know; it is taken as it comes.
+constexpr std::size_t kAnswerMost = 8 * 1024 * 1024;
 
 Phase phaseOf(const std::string& state) {
   if (state == "in_service") return Phase::ready;
@@ -191,6 +192,12 @@
 }
 
 void Catalog::broke(HttpLink& link) {
+  // Danger: dropped without a word, the dispatcher would answer PING and refuse every callback.
+  if (out_ && link.heard()) {
+    log::warn("list.unreadable",
+              {{"why", "it broke off, is no HTTP or is over " + std::to_string(kAnswerMost) + " bytes"},
+               {"kept", sites_.size()}});
+  }
   link.close();
   if (std::exchange(out_, false)) later(kPauseFirst, kPauseMost);
 }
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -65,6 +65,7 @@
   for (; at != book_.owed().end() && lines.size() < kBodyFull; ++at) {
     lines += lineOf(at->second);
     out_.push_back(at->first);
+    log::debug("notice.sent", {{"callback", at->second.ref}, {"new_link", !link_->up()}});
     if (oneByOne_) break;
   }
   link_->add("POST /reports HTTP/1.1\r\nHost: " + host_ + "\r\nContent-Type: application/x-ndjson\r\n" +
@@ -76,7 +77,11 @@
 
 void Notices::answered(HttpLink& link) {
   if (link.status() == 204) {
-    for (CallbackId id : std::exchange(out_, {})) book_.confirmed(id);
+    for (CallbackId id : std::exchange(out_, {})) {
+      auto at = book_.owed().find(id);
+      if (at != book_.owed().end()) log::debug("notice.confirmed", {{"callback", at->second.ref}});
+      book_.confirmed(id);
+    }
     pause_ = 0;
     if (book_.owed().empty()) oneByOne_ = false;
     return;
@@ -88,7 +93,9 @@
 
 void Notices::broke(HttpLink& link) {
   link.close();
-  if (!out_.empty()) later();
+  if (out_.empty()) return;
+  log::debug("notice.unanswered", {{"notices", out_.size()}, {"after_ms", loop_.now() - since_}});
+  later();
 }
 
 void Notices::later() {
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -230,6 +230,9 @@
   for (const auto& [id, held] : book_.held()) {
     for (const LaunchNote& launch : held.launches) catalog_.remember(launch.endpoint);
     rules_.taken(id, held.type, held.tenant, held.key, held.destination, held.outerWall + toSteady);
+    log::debug("callback.restored", {{"callback", held.ref},
+                                     {"launches", held.launches.size()},
+                                     {"left_ms", held.outerWall + toSteady - loop_.now()}});
     for (const LaunchNote& launch : held.launches) {
       rules_.launchedBefore(id, catalog_.idOf(launch.endpoint.name), launch.sentWall + toSteady,
                             launch.neverRan);
@@ -460,7 +463,11 @@
   calls_.send();
   intake_.send([this](CallbackId id) { return book_.decided(id); },
                [this](CallbackId id) -> std::optional<std::string> {
-                 if (!book_.lostTake(id)) return std::nullopt;
+                 if (!book_.lostTake(id)) {
+                   if (const Held* held = book_.find(id))
+                     log::debug("callback.answered", {{"callback", held->ref}});
+                   return std::nullopt;
+                 }
                  return busy(admission_.refusal(loop_.now()));
                });
   book_.forgetLost();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -586,6 +586,49 @@
   EXPECT_EQ(calls, 2);
 }
 
+// Danger: a buffer or an index made for the endpoints of one deployment. 1,024 of them, in lists that are
+// written for people's eyes, are read from the start file and from discovery, and each is reached.
+TEST(Node, ServesAThousandEndpointsFromIndentedLists) {
+  constexpr int kMany = 1024;
+  StandIn endpoint([](auto&, auto&) { return kOk; });
+  endpoint.start();
+  auto listOf = [&](const char* prefix, int version) {
+    nlohmann::json list{{"version", version}, {"full", true}, {"servers", nlohmann::json::array()}};
+    for (int n = 0; n < kMany; ++n) {
+      list["servers"].push_back({{"id", prefix + std::to_string(n)},
+                                 {"addr", endpoint.address()},
+                                 {"zone", "a"},
+                                 {"kind", "plain"},
+                                 {"cell", n},
+                                 {"state", "in_service"},
+                                 {"weight", 1.0},
+                                 {"started_ms", 0},
+                                 {"about", std::string(900, 'x')}});  // nothing that we know
+    }
+    return list.dump(8);
+  };
+  std::string whole = listOf("new-", 2);
+  std::atomic<bool> asked{false};
+  StandIn world([&](const std::string& head, const std::string& body) -> std::string {
+    if (!head.starts_with("GET") || asked.exchange(true)) return platform(head, body);
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(whole.size()) + "\r\n\r\n" + whole;
+  });
+  Node node(kSettings, nlohmann::json::parse(listOf("known-", 1)).at("servers").dump(8), world.address(),
+            R"({"sockets":512,"disk_mb":3})");
+  ASSERT_TRUE(node.start());
+  auto serves = [&](int first) {
+    for (int n = first; n < kMany; n += 100) {
+      std::string ref = "r" + std::to_string(n);
+      EXPECT_EQ(node.ask(submit(ref, "c=order,d=8000,dest=" + std::to_string(n))), "+OK\r\n");
+      EXPECT_TRUE(within(3000, [&] { return endpoint.count("X-Request-Id: " + ref + "\r\n") == 1; })) << n;
+    }
+  };
+  serves(23);  // by the start file: discovery has said nothing
+  world.start();
+  ASSERT_TRUE(within(5000, [&] { return world.count("since=2") > 0; }));
+  serves(1);
+}
+
 // Danger: a connection that comes up late. Its call counts from its first byte, and by then the endpoint may
 // drain.
 TEST(Node, SendsNothingOnAConnectionThatComesUpAfterADrainWasTold) {
