A callback that is answered at the very end of its time is told to the platform too

Cause: Calls::tell ended the callback as delivered (Book::completed) whenever a 200 was read. A callback's time counts from when its client sent it, ours from when we read it, and what is written after it delivers nothing; then an end is owed, and nobody told it. Now within 100 ms of the outer limit (what a command may have waited unread without Loop::heldUp saying so) the end is owed to the platform beside the 200; a notice for one that is over does no harm (PROTOCOL, Notices). Test: Calls.AnsweredAtTheEndOfTheirTimeAreToldToThePlatformToo, seen to fail on the old code.

--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -15,6 +15,10 @@
 constexpr Millis kForever = 1e15;
 constexpr Millis kRest = 250;  // for the rest of an answer that has begun; it is written in one go
 
+// A callback's time counts from when its client sent it, ours from when we read it: so much later at the
+// most, for a longer stop is seen (Loop::heldUp).
+constexpr Millis kReadLate = 100;
+
 Millis waitIn(const HttpLink& link) {
   auto wait = wholeNumber(link.header("X-Backoff-Ms"));
   return wait ? static_cast<Millis>(*wait) : 0;
@@ -324,11 +328,19 @@
   bool told = std::exchange(m.told, true);
   carries_.erase({m.callback, m.launch});
   bool ends = over || ending == Ending::completed;
+  // Danger: an answer written when the callback's time was just up delivers nothing, and its end is still
+  // owed. On arrival that cannot be told from one written just before. A notice for one that is over does no
+  // harm.
+  bool timely = loop_.now() < timeUp(m) - kReadLate;
+  auto isOver = [&] {
+    if (timely) return book_.completed(m.callback);
+    book_.owe(m.callback, Result::dead, 0);
+  };
   if (told) {
     // Given up on, and now it was delivered after all: nothing more may be sent for it.
     if (ends && book_.find(m.callback) != nullptr) {
       rules_.clientGone(m.callback);
-      book_.completed(m.callback);
+      isOver();
     }
     return;
   }
@@ -344,9 +356,9 @@
                               {"wait_ms", wait},
                               {"limit", report.limit},
                               {"left", report.left}});
-  bool isOver = ends || book_.find(m.callback) == nullptr;
-  rules_.launchEnded(m.callback, m.launch, ending, loop_.now() - line.sent, isOver, wait, report);
-  if (ends) book_.completed(m.callback);
+  bool known = ends || book_.find(m.callback) == nullptr;
+  rules_.launchEnded(m.callback, m.launch, ending, loop_.now() - line.sent, known, wait, report);
+  if (ends) isOver();
 }
 
 void Calls::tellAll(Line& line, Ending ending, bool over, Millis wait) {
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -160,5 +160,23 @@
   EXPECT_TRUE(within(1000, [&] { return desk.closed(); }));
 }
 
+// Seen on roll+brink+mass, 300 dispatchers, seed 54: "launch.sent time_out_ms=11999.0", "launch.ended
+// ending=completed spent_ms=11999.42", and a callback that had never ended.
+TEST(Calls, AnsweredAtTheEndOfTheirTimeAreToldToThePlatformToo) {
+  for (Millis left : {9000.0, 400.0}) {
+    Desk desk;
+    desk.take("one", "order", left);
+    ASSERT_TRUE(desk.sent("\r\n\r\nx"));
+    Millis at = desk.loop.now() + 350;
+    while (desk.loop.now() < at) desk.turn();
+    put(desk.far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(within(1000, [&] {
+      desk.turn();
+      return desk.book.held().empty();
+    }));
+    EXPECT_EQ(desk.book.owed().size(), left < 1000 ? 1u : 0u) << left;
+  }
+}
+
 }  // namespace
 }  // namespace stonewing::testing
