--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -45,6 +45,7 @@
       catalog_(catalog),
       facts_(facts),
       connectWithin_(facts.connectWithin > 0 ? facts.connectWithin : kForever),
+      mayCopy_(terms.mayCopy),
       mostLinks_(mostLinks) {
   // What is written near the end of that time may cross the other side's close, and would end as a break that
   // proves nothing. It is left out by as much as a connection may take to come up.
@@ -256,11 +257,13 @@
 
 // Danger: one callback of a call cannot be called off alone; the call stays out at the endpoint for the
 // others. Told as withdrawn it would be launched again beside it: a second copy, which not every deployment
-// allows, and an end by its other launch while this one is out. It is told with the call, or once its time is
-// up.
+// allows, and for the first of the call an end by its other launch while the rest is out. It is told with the
+// call, or once its time is up. Where copies are allowed the rest need not wait: at endpoints that hang one
+// that may not be repeated would keep all others there.
 bool Calls::keepsCall(const Line& line, const Member& m) const {
   auto waits = [&](const Member& o) { return &o != &m && !o.told && !o.off; };
-  return line.lastByteWritten() && loop_.now() < timeUp(m) &&
+  bool bound = !mayCopy_ || &m == &line.members.front();
+  return bound && line.lastByteWritten() && loop_.now() < timeUp(m) &&
          std::any_of(line.members.begin(), line.members.end(), waits);
 }
 
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -90,6 +90,7 @@
   const Catalog& catalog_;
   const HostFacts& facts_;
   Millis connectWithin_;
+  bool mayCopy_;
   Millis idleMost() const;
 
   Millis idleMost_{1e15};
