--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -22,13 +22,19 @@
   "limits":{"open-cap":50,"max-attempts":5,"cancel":true,"may-duplicate":false,"conn-idle-s":10,"connect-timeout-s":1.5},
   "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
 
+DeploymentTerms withCopies(bool may) {
+  DeploymentTerms terms = readFacts(kSettings);
+  terms.mayCopy = may;
+  return terms;
+}
+
 // One call to one endpoint, which reads it and says nothing until it is told to.
 struct Desk {
   Folder folder;
   int listener = loopback(0, true);
   int far = -1;
   net::Loop loop;
-  DeploymentTerms terms = readFacts(kSettings);
+  DeploymentTerms terms;
   HostFacts facts = readHostFacts(kSettings);
   Rules rules{terms, 7};
   net::Book book{facts, folder.path.string(), 3'000'000};
@@ -37,7 +43,7 @@
   std::string got;  // by the endpoint
   std::map<std::string, CallbackId> ids;
 
-  Desk() {
+  explicit Desk(bool mayCopy = false) : terms(withCopies(mayCopy)) {
     rules.roundBegins(loop.now());
     catalog.told(nlohmann::json::parse(
         R"({"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
@@ -106,18 +112,20 @@
 // ending=withdrawn" out of a call of six, "launch.sent launch=2" 345 ms later, the other five answered on the
 // first call after that.
 TEST(CallsOfSeveral, AreCalledOffAsAWholeOrNotAtAll) {
-  Desk desk;
-  for (const char* ref : {"one", "two", "three"}) desk.take(ref, "status", 9000);
-  ASSERT_TRUE(desk.sent("three - 1\r\nx\r\n"));
-  desk.callOff("two");
-  EXPECT_TRUE(desk.out("two"));
-  desk.callOff("one");
-  EXPECT_TRUE(desk.out("one"));
-  desk.turn();
-  EXPECT_FALSE(desk.closed());
-  desk.callOff("three");
-  for (const char* ref : {"one", "two", "three"}) EXPECT_FALSE(desk.out(ref)) << ref;
-  EXPECT_TRUE(within(1000, [&] { return desk.closed(); }));
+  for (bool mayCopy : {false, true}) {
+    Desk desk(mayCopy);
+    for (const char* ref : {"one", "two", "three"}) desk.take(ref, "status", 9000);
+    ASSERT_TRUE(desk.sent("three - 1\r\nx\r\n"));
+    desk.callOff("two");
+    EXPECT_EQ(desk.out("two"), !mayCopy);  // beside its call another launch of it would be a copy
+    desk.callOff("one");
+    EXPECT_TRUE(desk.out("one"));  // the first
+    desk.turn();
+    EXPECT_FALSE(desk.closed());
+    desk.callOff("three");
+    for (const char* ref : {"one", "two", "three"}) EXPECT_FALSE(desk.out(ref)) << ref;
+    EXPECT_TRUE(within(1000, [&] { return desk.closed(); }));
+  }
 }
 
 TEST(CallsOfSeveral, AnswerForOneThatWasToBeCalledOffToo) {
