Clients are told of the end and heard out, where a close over unread bytes reset them

Cause, by reading and then forced over loopback: Intake::Client::leave and outOfPatience closed a connection outright that had nothing in user space, though bytes could lie unread in the kernel or arrive in that moment; such a close resets the connection and takes the last answer with it. Intake::stopListening closed the listener over clients that waited to be accepted, and all of them were reset. A client that had just come was closed with no answer at the end. closeIdlest gave the place of a client away whose request had come, and once more for nobody each time the last place was taken. Behind an error only 1 MB was read, and the close after that reset the connection with the error in it.

Change: the end is said on the write side, what still comes is dropped for at most a second (it can no longer be answered), and the descriptor is closed at the client's end. A part of the places is freed that way before all are taken. One whose bytes have come is never idle.

Tests: tests/crossings_test.cpp, on a loop that the test turns.

--- a/src/net/intake.cpp
+++ b/src/net/intake.cpp
@@ -1,6 +1,7 @@
 #include "net/intake.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -34,6 +35,9 @@
 constexpr Millis kSilent = 2200;
 constexpr Millis kIdle = 5000;
 constexpr Millis kFresh = 50;
+constexpr Millis kClientWaits = 400;  // for an answer to what it has sent
+constexpr std::size_t kPlacesFreed =
+    16;  // a part of the places that idle clients give up before all are taken
 constexpr std::size_t kDroppedMost = 1024 * 1024;  // of what still comes behind an error
 
 // "*3\r\n" or "$12\r\n" at `at`.
@@ -116,15 +120,39 @@
   bool between() const { return in_.empty() && !owes() && !closing_; }
   bool lingers() const { return closing_ && !owes(); }
   bool mayClose() const { return between() || lingers(); }
+  // One that has just come is about to send; closed with no answer, it would have been refused for nothing.
   void leave() {
-    if (between()) finish();
+    bool fresh = !spoken_ && idleFor(intake_.loop_.now()) < kClientWaits;
+    if (between() && !fresh && !speaks()) retire();
+  }
+  // Bytes have come that no event has told of yet; one will. It is not idle then.
+  bool speaks() {
+    char byte;
+    if (::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) return false;
+    usedAt = intake_.loop_.now();
+    intake_.settle(*this);
+    return true;
+  }
+  // Closed between commands. Danger: a command may arrive in this very moment, and a close over unread bytes
+  // resets the connection, with the last answer if its client has not read it yet. So the end is said on our
+  // side alone; what still comes is dropped, since it can no longer be answered, and its client sends it anew
+  // elsewhere.
+  void retire() {
+    end();
+    ::shutdown(fd_, SHUT_WR);
+    intake_.settle(*this);
   }
   // When it is to be closed, if it does not move on.
   Millis patience() const {
-    return usedAt + (closing_ ? kLinger : !between() ? kHalfDone : spoken_ ? kIdle : kSilent);
+    Millis silent = intake_.leaving_ ? kClientWaits : kSilent;
+    return usedAt + (closing_ ? kLinger : !between() ? kHalfDone : spoken_ ? kIdle : silent);
   }
   void outOfPatience() {
-    if (closing_ || between() || !out_.empty()) return finish();
+    if (closing_ || !out_.empty()) return finish();
+    if (between()) {
+      if (!speaks()) retire();
+      return;
+    }
     refuse("-ERR half a command and no more\r\n");
     in_ = {};
     count();
@@ -220,8 +248,9 @@
     dropped_ += dropped.size();
     if (got == Got::broken || (got == Got::ended && !owes())) return finish();
     left_ = left_ || got == Got::ended;
-    if (dropped_ > kDroppedMost) return finish();  // it goes on regardless, and each byte costs us time
-    if (got == Got::more) intake_.loop_.again(fd_);
+    // One that goes on regardless is read no more, for each byte costs us time; it still has its while to
+    // read what we said.
+    if (got == Got::more && dropped_ <= kDroppedMost) intake_.loop_.again(fd_);
   }
 
   Intake& intake_;
@@ -250,7 +279,7 @@
       mostBytes_(std::max(mostBytes, kCommandMost)),
       answer_(std::move(answer)) {}
 
-Intake::~Intake() { stopListening(); }
+Intake::~Intake() { closeListener(); }
 
 void Intake::listen(const sockaddr_in& at) {
   fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -262,7 +291,15 @@
   if (!loop_.watch(fd_, *this)) throw std::system_error(errno, std::generic_category(), "cannot watch");
 }
 
+// Danger: who waits to be accepted when the listener closes is reset, with all it has sent. A turn that came
+// late finds many of them.
 void Intake::stopListening() {
+  for (int n = 0; n < kBacklog && accept(); n += kAcceptsATurn) {
+  }
+  closeListener();
+}
+
+void Intake::closeListener() {
   if (fd_ < 0) return;
   loop_.forget(fd_);
   ::close(fd_);
@@ -271,7 +308,11 @@
 
 void Intake::leave() {
   leaving_ = true;
-  for (auto at = clients_.begin(); at != clients_.end();) (*at++)->leave();
+  for (auto at = clients_.begin(); at != clients_.end();) {
+    (*at++)->leave();
+  }
+  // Those that stay for a moment have less patience now.
+  for (auto& client : clients_) settle(*client);
 }
 
 void Intake::send(const Decided& decided, const Instead& instead) {
@@ -301,29 +342,57 @@
 }
 
 // A connection may be closed between commands; clients open more when they need them. One that lingers after
-// its error goes first.
-bool Intake::closeIdlest() {
-  Client* idlest = nullptr;
+// its last answer goes first, or last where it is only the others that are asked for.
+Intake::Client* Intake::idlest(bool lingering) {
+  Client* found = nullptr;
   for (auto& client : clients_) {
-    if (!client->mayClose()) continue;
+    if (!client->mayClose() || (!lingering && client->lingers())) continue;
     auto place = [&](const Client& c) {
       return std::tuple(c.lingers(), c.goesFirst(loop_.now()), c.idleFor(loop_.now()));
     };
-    if (idlest == nullptr || place(*client) > place(*idlest)) idlest = client.get();
+    if (found == nullptr || place(*client) > place(*found)) found = client.get();
   }
-  if (idlest != nullptr) idlest->finish();
-  return idlest != nullptr;
+  return found;
 }
 
-void Intake::ready(std::uint32_t) { accept(); }
+bool Intake::closeIdlest() {
+  Client* before = nullptr;
+  for (Client* client; (client = idlest(true)) != nullptr && client != before; before = client) {
+    if (!client->lingers() && client->speaks()) continue;  // now it is the last of them
+    client->finish();
+    return true;
+  }
+  return false;
+}
 
-void Intake::accept() {
+// A few places are kept free by clients that are told of the end and given their while, so that hardly any
+// has to be cut off for another.
+void Intake::retireIdlest() {
+  std::size_t freed = most_ / kPlacesFreed;
+  auto lingering = [](const auto& client) { return client->lingers(); };
+  if (clients_.size() + freed <= most_) return;
+  auto going = static_cast<std::size_t>(std::count_if(clients_.begin(), clients_.end(), lingering));
+  if (clients_.size() - going + freed <= most_) return;
+  Client* client = idlest(false);
+  if (client != nullptr && !client->speaks()) client->retire();
+}
+
+void Intake::ready(std::uint32_t) {
+  if (accept()) loop_.again(fd_);
+}
+
+// Whether there may be more to accept at once.
+bool Intake::accept() {
   acceptAgain_ = -1;
   for (int n = 0; fd_ >= 0; ++n) {
-    if (n == kAcceptsATurn) return loop_.again(fd_);
+    if (n == kAcceptsATurn) return true;
+    retireIdlest();
+    // Danger: with all places taken a client would be closed for nobody.
+    pollfd listener{fd_, POLLIN, 0};
+    if (clients_.size() >= most_ && ::poll(&listener, 1, 0) == 0) return false;
     if (clients_.size() >= most_ && !closeIdlest()) {
       acceptAgain_ = loop_.now() + kAcceptPause;
-      return;
+      return false;
     }
     int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -334,7 +403,7 @@
         closeIdlest();
         acceptAgain_ = loop_.now() + kAcceptPause;
       }
-      return;
+      return false;
     }
     int on = 1;
     ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -344,6 +413,7 @@
     clients_.back()->self = std::prev(clients_.end());
     clients_.back()->ready(EPOLLIN | EPOLLRDHUP);  // in this turn: it may have sent, and ended, long ago
   }
+  return false;
 }
 
 // Danger: a few hundred clients that each send most of a command would fill the memory. The one that began
@@ -361,7 +431,7 @@
 
 void Intake::tick() {
   shedHalfDone();
-  if (acceptAgain_ >= 0 && loop_.now() >= acceptAgain_) accept();
+  if (acceptAgain_ >= 0 && loop_.now() >= acceptAgain_) ready(0);
   while (!patience_.empty() && patience_.begin()->first <= loop_.now()) {
     Client& client = *patience_.begin()->second;
     if (loop_.now() < client.patience()) {
--- a/src/net/intake.h
+++ b/src/net/intake.h
@@ -39,8 +39,8 @@
   ~Intake() override;
 
   void listen(const sockaddr_in& at);  // throws where the address cannot be had
-  void stopListening();
-  // Closes each client that stands between commands; the rest as soon as they do.
+  void stopListening();                // who has connected by now is still a client
+  // Tells each client that stands between commands of the end; the rest as soon as they do.
   void leave();
   // Whether it is known what became of a callback that was taken.
   using Decided = std::function<bool(CallbackId)>;
@@ -49,14 +49,19 @@
   void send(const Decided& decided, const Instead& instead);
   std::size_t waiting() const { return answering_.size(); }  // clients whose answers were not sent yet
   std::size_t clients() const { return clients_.size(); }
+  // A descriptor is needed elsewhere: the client that has stood between commands for longest gives up its
+  // own.
+  bool closeIdlest();
   void tick();
   Millis due() const;
 
  private:
   class Client;
   void ready(std::uint32_t events) override;
-  void accept();
-  bool closeIdlest();
+  bool accept();
+  void closeListener();
+  Client* idlest(bool lingering);
+  void retireIdlest();
   void gone(Client& client);
   void settle(Client& client);  // its patience may have changed
   void shedHalfDone();
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -407,6 +407,7 @@
                        hangsSince_ < 0 ? 0 : loop_.now() - hangsSince_, workedThisTurn()};
   AdmissionCall call =
       admission_.asked(facts, terms_.types.at(held.type.value).gain, rules_.overShare(held.tenant));
+    enter(State::finishing);  // what is read from here on is refused
   if (!call.take) return {busy(call.wait)};
   held.outerWall -= loop_.heldUp();  // its time counts from when the client sent it
   Millis outer = loop_.now() + (held.outerWall - wall);
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,259 @@
+// Two events that meet at the wrong instant, forced: the parts of the dispatcher are driven on a loop that
+// the test turns, so that the order of the two is set. docs/sockets.md has the table.
+#include <gtest/gtest.h>
+#include <sys/epoll.h>
+
+#include <nlohmann/json.hpp>
+
+#include "bench_free.h"
+#include "core/bytes.h"
+#include "net/catalog.h"
+#include "net/intake.h"
+
+namespace stonewing::testing {
+namespace {
+
+const std::string kPing = command({"PING"});
+const std::string kPong = "+PONG\r\n";
+
+// What comes on a connection until it ends: "FIN" or "RST" stands for the end, nothing for none in that time.
+std::string heard(int fd, Millis most = 0) {
+  std::string got;
+  within(most, [&] {
+    char chunk[4096];
+    ssize_t n;
+    while ((n = ::recv(fd, chunk, sizeof chunk, MSG_DONTWAIT)) > 0)
+      got.append(chunk, static_cast<std::size_t>(n));
+    bool none = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    int error = 0;  // behind an end that was told a reset shows here alone
+    socklen_t size = sizeof error;
+    ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size);
+    if (!none) got += n == 0 && error == 0 ? "FIN" : "RST";
+    return !none;
+  });
+  return got;
+}
+
+// The clients' side alone. PING is answered, anything else is taken on.
+struct Front {
+  net::Loop loop;
+  std::vector<std::string> taken;  // ids
+  std::uint16_t port{};
+  std::vector<int> clients;
+  net::Intake intake;
+
+  explicit Front(std::size_t most = 64)
+      : intake(loop, most, 1 << 20, [this](const auto& words, bool) -> net::Intake::Answered {
+          if (words[0] == "PING") return {kPong};
+          if (words[0] != "SUBMIT") throw Malformed("unknown command");
+          taken.emplace_back(words[2]);
+          return {"+OK\r\n"};
+        }) {
+    int fd = loopback(0, true);
+    port = portOf(fd);
+    ::close(fd);
+    intake.listen(*net::addressOf("127.0.0.1:" + std::to_string(port)));
+  }
+  ~Front() {
+    for (int fd : clients) ::close(fd);
+  }
+  int come() { return clients.emplace_back(loopback(port, false)); }
+  void answer() {
+    intake.send([](CallbackId) { return true; }, [](CallbackId) { return std::nullopt; });
+  }
+  void turn() {
+    loop.wait(loop.now() + 2);
+    loop.dispatch();
+    intake.tick();
+    answer();
+  }
+  std::string turns(int fd, Millis most) {
+    std::string got;
+    for (Millis until = loop.now() + most;
+         loop.now() < until && !got.ends_with("FIN") && !got.ends_with("RST");) {
+      turn();
+      got += heard(fd);
+    }
+    return got;
+  }
+  // A client that has asked and heard its answer, and rests.
+  int resting() {
+    int fd = come();
+    put(fd, kPing);
+    EXPECT_TRUE(within(1000, [&] {
+      turn();
+      char byte;
+      return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }));
+    return fd;
+  }
+};
+
+// Danger: a close over bytes that were not read resets the connection, and takes the last answer with it.
+TEST(Leaving, CrossesARequestThatLiesUnread) {
+  Front front;
+  int fd = front.resting();
+  put(fd, submit("late", "c=a,d=1,dest=7"));
+  front.intake.leave();
+  EXPECT_EQ(front.turns(fd, 500), kPong + "+OK\r\n" + "FIN");
+  EXPECT_EQ(front.taken.size(), 1u);
+}
+
+// Danger: what is read after the shutdown can no longer be answered. Taken on and sent on it would be lost.
+TEST(Leaving, CrossesARequestThatArrivesBehindTheShutdown) {
+  Front front;
+  int fd = front.resting();
+  front.intake.leave();
+  for (std::string part : {submit("late", "c=a,d=1,dest=7"), submit("later", "c=a,d=1,dest=7")}) {
+    put(fd, part);
+    front.turn();
+  }
+  EXPECT_EQ(heard(fd, 200), kPong + "FIN");
+  front.turn();
+  EXPECT_TRUE(front.taken.empty());
+  EXPECT_EQ(front.intake.clients(), 1u);  // it may still be writing
+  ::shutdown(fd, SHUT_WR);
+  EXPECT_TRUE(within(500, [&] {
+    front.turn();
+    return front.intake.clients() == 0;
+  }));
+}
+
+TEST(Leaving, EndsAClientThatSendsForEver) {
+  Front front;
+  int fd = front.resting();
+  front.intake.leave();
+  Millis began = front.loop.now();
+  EXPECT_TRUE(within(3000, [&] {
+    put(fd, kPing);
+    front.turn();
+    return front.intake.clients() == 0;
+  }));
+  EXPECT_LT(front.loop.now() - began, 1500);
+}
+
+TEST(Leaving, CrossesHalfARequest) {
+  Front front;
+  int fd = front.resting();
+  std::string whole = submit("half", "c=a,d=1,dest=7");
+  put(fd, whole.substr(0, 20));
+  front.turn();
+  front.intake.leave();
+  front.turn();
+  put(fd, whole.substr(20));
+  EXPECT_EQ(front.turns(fd, 500), kPong + "+OK\r\n" + "FIN");
+}
+
+// Danger: a new connection that is closed with no answer counts as refused, and its client has nothing to go
+// by.
+TEST(Leaving, LeavesOneThatHasJustComeTheTimeToAsk) {
+  Front front;
+  int fd = front.come();
+  front.turn();
+  front.intake.leave();
+  front.turn();
+  EXPECT_EQ(heard(fd), "");
+  put(fd, submit("first", "c=a,d=1,dest=7"));
+  EXPECT_EQ(front.turns(fd, 500), "+OK\r\nFIN");
+  int silent = front.come();  // not accepted yet
+  front.intake.stopListening();
+  Millis began = front.loop.now();
+  EXPECT_EQ(front.turns(silent, 2000), "FIN");
+  EXPECT_LT(front.loop.now() - began, 800);
+}
+
+// Danger: who waits to be accepted when the listener closes is reset with all it has sent.
+TEST(Leaving, CrossesClientsThatWaitToBeAccepted) {
+  constexpr int kMany = 200;  // more than are accepted in one turn
+  Front front(400);
+  for (int n = 0; n < kMany; ++n) put(front.come(), submit("c" + std::to_string(n), "c=a,d=1,dest=7"));
+  front.intake.stopListening();
+  front.intake.leave();
+  for (int fd : front.clients) ASSERT_EQ(front.turns(fd, 1000), "+OK\r\nFIN");
+  EXPECT_EQ(front.taken.size(), static_cast<std::size_t>(kMany));
+}
+
+TEST(Patience, CrossesTheFirstRequestOfAClient) {
+  Front front;
+  int fd = front.come();
+  for (int n = 0; n < 5; ++n) front.turn();  // the last event of its coming is over
+  std::this_thread::sleep_for(std::chrono::milliseconds(2250));
+  front.loop.wait(front.loop.now());
+  front.loop.dispatch();
+  put(fd, kPing);
+  front.intake.tick();  // its time is up, and the command lies unread
+  EXPECT_EQ(front.turns(fd, 200), kPong);
+  int silent = front.come();
+  EXPECT_EQ(front.turns(silent, 3000), "FIN");
+  put(silent, kPing);  // no reset that would take an answer with it
+  for (int n = 0; n < 5; ++n) front.turn();
+  EXPECT_EQ(heard(silent), "FIN");
+}
+
+// Danger: the place of a client is given to another as its request arrives.
+TEST(Places, AreNotTakenFromAClientThatHasJustSpoken) {
+  Front front(4);
+  std::vector<int> kept;
+  for (int n = 0; n < 4; ++n) kept.push_back(front.resting());
+  put(kept[0], submit("spoken", "c=a,d=1,dest=7"));  // the one that would go first
+  int next = front.come();
+  put(next, kPing);
+  front.loop.wait(front.loop.now());
+  // The listener's event is looked at before the client's.
+  EXPECT_TRUE(front.intake.closeIdlest());
+  EXPECT_EQ(front.turns(kept[0], 100), kPong + "+OK\r\n");
+  EXPECT_EQ(front.turns(next, 100), kPong);
+}
+
+TEST(Places, AreFreedByTellingClientsOfTheEndBeforeAllAreTaken) {
+  Front front(64);
+  std::vector<int> kept;
+  for (int n = 0; n < 64; ++n) kept.push_back(front.resting());
+  std::string first = heard(kept[0]);
+  EXPECT_EQ(first, kPong + "FIN");
+  put(kept[0], kPing);  // crosses the end: no reset that would take an answer with it
+  for (int n = 0; n < 5; ++n) front.turn();
+  EXPECT_EQ(heard(kept[0]), "FIN");
+  EXPECT_EQ(heard(kept[63]), kPong);
+}
+
+// Danger: behind an error come more bytes than we care to read. Closed on them the error is lost.
+TEST(Errors, StandAtTheEndHoweverMuchComesBehindThem) {
+  Front front;
+  int fd = front.come();
+  std::thread sends([&] { put(fd, "nonsense\r\n" + std::string(3 << 20, 'x')); });
+  std::string got;
+  EXPECT_TRUE(within(900, [&] {
+    front.turn();
+    got += heard(fd);
+    return got.ends_with("FIN");
+  }));
+  EXPECT_TRUE(got.starts_with("-ERR ")) << got;
+  for (int n = 0; n < 20; ++n) front.turn();
+  EXPECT_EQ(heard(fd), "FIN");
+  ::shutdown(fd, SHUT_RDWR);
+  sends.join();
+  EXPECT_TRUE(within(2000, [&] {
+    front.turn();
+    return front.intake.clients() == 0;
+  }));
+}
+
+// Danger: a client sends much and goes. All it has sent is read, and nothing is written to nobody for ever.
+TEST(Errors, OfAClientThatSendsMuchAndGoesHoldNoPlace) {
+  Front front;
+  int fd = front.come();
+  std::string all;
+  for (int n = 0; n < 200; ++n)
+    all += submit("c" + std::to_string(n), "c=a,d=1,dest=7", std::string(900, 'x'));
+  put(fd, all);
+  ::close(fd);
+  front.clients.clear();
+  EXPECT_TRUE(within(2000, [&] {
+    front.turn();
+    return front.intake.clients() == 0 && front.taken.size() > 0;
+  }));
+}
+
+}  // namespace
+}  // namespace stonewing::testing
