What leaves is asked again as it leaves, and our own lack is no failure of an endpoint

Each guard taken out, the tests that fail: onLack Calls.HaveRoomMadeForThem and Node.IdleClientsTakeNoDescriptorFromTheRest; lacking Calls.ThatLackADescriptor...; mayGoOn Calls.HalfWritten...; stillWanted and the look at the connection Calls.OfATurnThatHasGrownOldGoOut...; the clock Node.AfterAClockSetBack...; the address Calls.CrossAListThatChanges. Taken out alone, the question at a connection that comes up leaves Calls.CrossAListThatChanges passing (that case never connects); it stays held by Node.SendsNothingOnAConnectionThatComesUpAfterADrainWasTold.

--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kAnswerMost = 128 * 1024;
 constexpr Millis kForever = 1e15;
+// What our own lack kept back is not tried again at once: no descriptor, no room in the journal.
+constexpr Millis kWithheld = 250;
 constexpr Millis kRest = 250;  // for the rest of an answer that has begun; it is written in one go
 
 // A callback's time counts from when its client sent it, ours from when we read it: so much later at the
@@ -38,7 +40,7 @@
 }
 
 Calls::Calls(Loop& loop, Rules& rules, Book& book, const Catalog& catalog, const DeploymentTerms& terms,
-             const HostFacts& facts, std::size_t mostLinks)
+             const HostFacts& facts, std::size_t mostLinks, std::size_t mostProbes)
     : loop_(loop),
       rules_(rules),
       book_(book),
@@ -46,7 +48,8 @@
       facts_(facts),
       connectWithin_(facts.connectWithin > 0 ? facts.connectWithin : kForever),
       mayCopy_(terms.mayCopy),
-      mostLinks_(mostLinks) {
+      mostLinks_(mostLinks),
+      mostProbes_(mostProbes) {
   // What is written near the end of that time may cross the other side's close, and would end as a break that
   // proves nothing. It is left out by as much as a connection may take to come up.
   if (terms.connectionIdle > 0) idleMost_ = terms.connectionIdle;
@@ -87,7 +90,8 @@
     }
     // Noted before its last byte: after a kill it may have run. What cannot be noted is not sent.
     for (const Member& m : line.members) {
-      if (!book_.launched(m.callback, catalog_.find(endpoint)->note, wallNow())) line.failed = true;
+      const Site* site = catalog_.find(endpoint);
+      if (site == nullptr || !book_.launched(m.callback, site->note, wallNow())) line.withheld = true;
     }
     for (const Member& m : line.members) carries_[{m.callback, m.launch}] = &line;
     noted_.push_back(&line);
@@ -103,21 +107,23 @@
       continue;
     }
     for (const Member& m : line->members) {
-      if (book_.find(m.callback) == nullptr || book_.lostLaunch(m.callback, m.launch)) line->failed = true;
+      if (book_.find(m.callback) == nullptr || book_.lostLaunch(m.callback, m.launch)) line->withheld = true;
     }
-    if (!line->failed && loop_.now() > line->sent && !stillWanted(*line)) continue;
-    if (!line->failed && line->up()) write(*line);
-    if (!line->failed) line->begin();
+    bool goes = !line->failed && !line->withheld;
+    if (goes && loop_.now() > line->sent && !stillWanted(*line)) continue;
+    if (goes && line->up()) write(*line);
+    if (goes) line->begin();
     settle(*line);
   }
 }
 
 // Danger: a write of the journal that hung has kept a launch back. Sent as if nothing had been, it could
-// reach an endpoint that drains by now or has told to wait, and its endpoint would pass for one that was
-// silent so long.
+// reach an endpoint that drains by now or has told to wait, or go out past the window of a repeat, or on a
+// connection that has ended meanwhile; and its endpoint would pass for one that was silent so long.
 bool Calls::stillWanted(Line& line) {
   auto may = [&](const Member& m) { return loop_.now() < m.due && rules_.mayBegin(m.callback, m.launch); };
-  if (!std::all_of(line.members.begin(), line.members.end(), may)) {
+  bool ended = line.up() && !line.stillGood();
+  if (ended || !std::all_of(line.members.begin(), line.members.end(), may)) {
     tellAll(line, Ending::notSent);
     line.members.clear();
     release(line);
@@ -129,7 +135,7 @@
 }
 
 Millis Calls::dueOf(const Line& line) const {
-  if (line.failed) return 0;
+  if (line.failed || line.withheld) return 0;
   if (!line.busy()) return line.usedAt + idleMost();
   Millis due = connectBy(line);
   if (line.probing) due = std::min(due, line.sent + connectWithin_);
@@ -151,7 +157,7 @@
   unsettle(line);
   line.due = dueOf(line);
   dues_.insert({line.due, &line});
-  if (line.busy() || line.failed || !line.up()) return;
+  if (line.busy() || line.failed || line.withheld || !line.up()) return;
   line.idleAt = line.usedAt;
   idle_.insert({line.endpoint, line.usedAt, &line});
   oldest_.insert({line.usedAt, &line});
@@ -206,16 +212,16 @@
     return *best;
   }
   if (best != nullptr) closeIdle(endpoint);
-  if (lines_.size() >= mostLinks_) {
-    // Room is made by the one that has stood idle for longest.
-    if (!oldest_.empty()) release(*oldest_.begin()->second);
-  }
+  // Room is made by the one that has stood idle for longest.
+  if (lines_.size() >= mostLinks_ && !oldest_.empty()) release(*oldest_.begin()->second);
   lines_.push_back(std::make_unique<Line>(loop_, *this, kAnswerMost));
   Line& line = *lines_.back();
   line.self = std::prev(lines_.end());
   line.endpoint = endpoint;
   if (site != nullptr) line.address = site->address;
-  line.failed = site == nullptr || !line.open(site->address);
+  line.withheld = site == nullptr;
+  if (site != nullptr) line.failed = !line.open(site->address);
+  line.withheld = line.withheld || line.lacking();
   return line;
 }
 
@@ -223,6 +229,7 @@
   unsettle(line);
   std::erase(noted_, &line);
   for (const Member& m : line.members) carries_.erase({m.callback, m.launch});
+  if (std::exchange(line.probing, false)) --probesOut_;
   auto at = line.self;
   line.close();
   loop_.bury(std::move(*at));
@@ -288,11 +295,16 @@
   return !line.members.empty() && std::all_of(line.members.begin(), line.members.end(), told);
 }
 
+// Danger: hundreds of endpoints that are out are probed at once, and their connections take the descriptors
+// of all others.
 void Calls::probe(EndpointId endpoint) {
+  if (probesOut_ >= mostProbes_ && lines_.size() >= mostLinks_ && oldest_.empty())
+    return rules_.probeEnded(endpoint, Ending::notSent, {});
   Line& line = lineTo(endpoint);
   line.probing = true;
+  ++probesOut_;
   line.sent = loop_.now();
-  if (line.failed) return settle(line);
+  if (line.failed || line.withheld) return settle(line);
   line.add("GET /ping HTTP/1.1\r\nHost: " + catalog_.find(endpoint)->authority + "\r\n\r\n");
   line.begin();
   settle(line);
@@ -401,12 +413,11 @@
   int status = line.status();
   Millis wait = waitIn(line);
   if (line.probing) {
-    line.probing = false;
     Ending ending = status == 200   ? Ending::completed
                     : status == 429 ? Ending::full
                     : status == 503 ? Ending::full
                                     : Ending::error;
-    rules_.probeEnded(line.endpoint, ending, reportIn(line.header("X-Load"), facts_.reported));
+    probeEnded(line, ending, reportIn(line.header("X-Load"), facts_.reported));
   } else if (status == 200 && line.members.size() > 1) {
     readMany(line, wait);
   } else if (status == 200) {
@@ -453,6 +464,36 @@
   return true;
 }
 
+// A repeat is no repeat that may be sent once its window is over, and counts from its last byte: one that an
+// endpoint reads slowly is broken off, and has not run.
+bool Calls::mayGoOn(HttpLink& link) {
+  Line& line = static_cast<Line&>(link);
+  auto may = [&](const Member& m) { return m.told || rules_.mayBegin(m.callback, m.launch); };
+  if (line.probing || std::all_of(line.members.begin(), line.members.end(), may)) return true;
+  tellAll(line, Ending::notSent);
+  line.members.clear();
+  release(line);
+  return false;
+}
+
+void Calls::probeEnded(Line& line, Ending ending, Report report) {
+  line.probing = false;
+  --probesOut_;
+  rules_.probeEnded(line.endpoint, ending, report);
+}
+
+// What we lack ourselves is no failure of the endpoint. Danger: taken for one, a full disk or a table of
+// descriptors that clients have filled makes every destination look out, and a ramp follows.
+void Calls::withhold(Line& line) {
+  log::warn("launch.withheld",
+            {{"endpoint", nameAt(line.endpoint)},
+             {"why", line.lacking() ? "no descriptor" : "not noted, or not listed any more"}});
+  if (line.probing) probeEnded(line, Ending::notSent);
+  tellAll(line, Ending::notSent, false, kWithheld);
+  line.members.clear();
+  release(line);
+}
+
 // How a call ended that brought no good answer: before its last byte was written it cannot have run. A first
 // line that says 200 is true, whatever follows it. Anything else that came was spoilt by an endpoint that is
 // there and has run the call: no dead connection, of which the module would think less.
@@ -473,10 +514,7 @@
 
 void Calls::broke(HttpLink& link) {
   Line& line = static_cast<Line&>(link);
-  if (line.probing) {
-    line.probing = false;
-    rules_.probeEnded(line.endpoint, unanswered(line, Ending::reset), {});
-  }
+  if (line.probing) probeEnded(line, unanswered(line, Ending::reset));
   tellAll(line, unanswered(line, Ending::reset));
   line.members.clear();
   release(line);
@@ -504,6 +542,7 @@
     if (lines_.size() < links) return;  // released
     if (!line.busy() || loop_.now() < dueOf(line)) return settle(line);
   }
+  if (line.withheld) return withhold(line);
   bool spoilt = line.busy() && line.wholeBy >= 0 && loop_.now() >= line.wholeBy;
   if (line.failed || spoilt || loop_.now() >= connectBy(line)) return broke(line);
   if (!line.busy()) {
@@ -511,8 +550,7 @@
     return settle(line);
   }
   if (line.probing && loop_.now() >= line.sent + connectWithin_) {
-    line.probing = false;
-    rules_.probeEnded(line.endpoint, Ending::timeout, {});
+    probeEnded(line, Ending::timeout);
     return release(line);
   }
   for (Member& m : line.members) {
--- a/src/net/calls.h
+++ b/src/net/calls.h
@@ -21,8 +21,9 @@
 // Carries launches and probes to endpoints over HTTP/1.1 and tells the rules how each ended.
 class Calls : public HttpLink::Owner {
  public:
+  // mostLinks: connections to endpoints; so many probes at once have one for certain.
   Calls(Loop& loop, Rules& rules, Book& book, const Catalog& catalog, const DeploymentTerms& terms,
-        const HostFacts& facts, std::size_t mostLinks);
+        const HostFacts& facts, std::size_t mostLinks, std::size_t mostProbes);
 
   // Launches of one pass that belong to one call go out together: noted with flush, sent once the book has
   // kept them.
@@ -52,8 +53,9 @@
     sockaddr_in address{};
     std::vector<Member> members;
     bool probing{false};
-    bool failed{false};  // could not even begin
-    Millis wholeBy{-1};  // an answer that has begun is to be whole by then; -1 while none has
+    bool failed{false};    // could not even begin
+    bool withheld{false};  // for want of something of our own, which tells nothing of the endpoint
+    Millis wholeBy{-1};    // an answer that has begun is to be whole by then; -1 while none has
     Millis sent{0};
     Millis usedAt{0};
     Millis due{-1};     // its place in dues_
@@ -62,6 +64,7 @@
   };
 
   bool mayBegin(HttpLink& link) override;
+  bool mayGoOn(HttpLink& link) override;
   void begun(HttpLink& link) override;
   void answered(HttpLink& link) override;
   void broke(HttpLink& link) override;
@@ -69,6 +72,8 @@
   Line& lineTo(EndpointId endpoint);
   void write(Line& line);
   bool stillWanted(Line& line);
+  void withhold(Line& line);
+  void probeEnded(Line& line, Ending ending, Report report = {});
   void tell(Line& line, Member& member, Ending ending, bool over, Millis wait);
   void tellAll(Line& line, Ending ending, bool over = false, Millis wait = 0);
   void readMany(Line& line, Millis wait);
@@ -95,6 +100,8 @@
 
   Millis idleMost_{1e15};
   std::size_t mostLinks_;
+  std::size_t mostProbes_;
+  std::size_t probesOut_{0};
   std::list<std::unique_ptr<Line>> lines_;
   std::set<std::pair<Millis, Line*>> dues_;
   std::set<std::tuple<EndpointId, Millis, Line*>> idle_;  // by endpoint, then when last used
--- a/src/net/catalog.cpp
+++ b/src/net/catalog.cpp
@@ -127,13 +127,18 @@
   whole_ = false;
 }
 
-void Catalog::remember(const EndpointNote& note) {
-  EndpointId id = idOf(note.name);
-  if (sites_.contains(id)) return;
-  sites_[id] = {note, {}, {}};
-  destinations_.insert(note.destination);
+// In one go: the end of a list costs by all that is held.
+void Catalog::remember(const std::map<CallbackId, Held>& held) {
   rules_.listBegins();
-  rules_.listed(id, note.destination, note.kind, note.zone, 0, Phase::gone);
+  for (const auto& [callback, one] : held) {
+    for (const LaunchNote& launch : one.launches) {
+      const EndpointNote& note = launch.endpoint;
+      EndpointId id = idOf(note.name);
+      if (!sites_.try_emplace(id, Site{note, {}, {}}).second) continue;
+      destinations_.insert(note.destination);
+      rules_.listed(id, note.destination, note.kind, note.zone, 0, Phase::gone);
+    }
+  }
   rules_.listEnds(false);
 }
 
--- a/src/net/catalog.h
+++ b/src/net/catalog.h
@@ -27,8 +27,8 @@
 
   // Tells the rules a list, or changes. Throws Malformed and tells nothing where it cannot be read.
   void told(const nlohmann::json& answer);
-  // An endpoint that no list names any more, but that a restored callback was launched at.
-  void remember(const EndpointNote& note);
+  // Endpoints that no list names any more, but that restored callbacks were launched at.
+  void remember(const std::map<CallbackId, Held>& held);
 
   const Site* find(EndpointId id) const {
     auto at = sites_.find(id);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -181,8 +181,12 @@
 }
 
 bool HttpLink::open(const sockaddr_in& to) {
-  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd_ < 0) return false;
+  auto made = [] { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); };
+  fd_ = made();
+  // Danger: idle clients hold all descriptors, and nothing is delivered nor heard any more.
+  if (fd_ < 0 && (errno == EMFILE || errno == ENFILE) && loop_.madeRoom()) fd_ = made();
+  lacking_ = fd_ < 0;
+  if (lacking_) return false;
   int on = 1;
   ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   if ((::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0 || errno == EINPROGRESS) &&
@@ -230,6 +234,7 @@
     up_ = true;
     if (!owner_.mayBegin(*this)) return;
   }
+  if (!out_.empty() && busy_ && !owner_.mayGoOn(*this)) return;
   if (!out_.empty()) write();
   if (fd_ >= 0) read((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -50,6 +50,8 @@
     virtual ~Owner() = default;
     // A connection is up. False: its exchange must not begin any more, and the owner has closed it.
     virtual bool mayBegin(HttpLink&) { return true; }
+    // More of an exchange that is half written may go out. False: it must not, and the owner has closed it.
+    virtual bool mayGoOn(HttpLink&) { return true; }
     // Some of the answer has come; the rest has yet to come, if it ever does.
     virtual void begun(HttpLink&) {}
     virtual void answered(HttpLink& link) = 0;  // the answer is whole; the link may be used again if open()
@@ -59,8 +61,10 @@
       : loop_(loop), owner_(owner), most_(mostAnswer) {}
   ~HttpLink() override { close(); }
 
-  // Opens a connection. False: it could not even begin, for want of a descriptor or since it was refused.
+  // Opens a connection. False: it could not even begin, for want of a descriptor (lacking) or since it was
+  // refused.
   bool open(const sockaddr_in& to);
+  bool lacking() const { return lacking_; }
   void add(std::string piece) { out_.add(std::move(piece)); }
   void add(std::shared_ptr<const std::string> piece) { out_.add(std::move(piece)); }
   // What was added goes out as one exchange; errors are told in a later turn.
@@ -96,6 +100,7 @@
   int fd_{-1};
   bool up_{false};
   bool busy_{false};
+  bool lacking_{false};
   std::string in_;
   Outgoing out_;
   AnswerReader answer_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), now_(steadyNow()) {
+Loop::Loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), now_(steadyNow()), waited_(now_) {
   if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
@@ -57,11 +57,19 @@
   Millis left = std::clamp(until - steadyNow(), 0.0, kLongestSleep);
   int timeout = again_.empty() ? static_cast<int>(std::ceil(left)) : 0;
   gather(timeout);
-  Millis before = std::exchange(now_, steadyNow());
+  now_ = steadyNow();
+  Millis before = std::exchange(waited_, now_);
   heldUp_ = now_ - before > 2 * kLongestSleep ? now_ - before : 0;
   if (heldUp_ > 0) gather(0);  // a stop ends a sleep early, and what came meanwhile belongs to this turn
 }
 
+bool Loop::late(Millis more) {
+  Millis now = steadyNow();
+  if (now - now_ < more) return false;
+  now_ = now;
+  return true;
+}
+
 // All that has come belongs to the turn: what is decided in it must not be decided on half of what is there.
 void Loop::gather(int timeout) {
   for (int more = kGathersATurn; more > 0; --more) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -5,11 +5,13 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/ids.h"
@@ -52,7 +54,13 @@
   // Keeps a closed source until the turn is over: it may be in the middle of its own event.
   void bury(std::unique_ptr<Source> source) { buried_.push_back(std::move(source)); }
 
+  // Asked where no descriptor is left; true: one was made free.
+  void onLack(std::function<bool()> makeRoom) { makeRoom_ = std::move(makeRoom); }
+  bool madeRoom() { return makeRoom_ && makeRoom_(); }
+
   void wait(Millis until);  // of the steady clock
+  // The turn has taken long: its time is taken anew. Whether it was so is returned.
+  bool late(Millis more);
   void dispatch();
   Millis now() const { return now_; }
   // How long what came in this turn may have waited for us, where the process was held up; else 0.
@@ -68,7 +76,9 @@
 
   int epoll_;
   Millis now_;
+  Millis waited_;  // when the turn began
   Millis heldUp_{0};
+  std::function<bool()> makeRoom_;
   std::uint32_t serial_{0};
   std::unordered_map<int, Watched> watched_;
   std::vector<std::uint64_t> again_;
--- a/src/net/notices.cpp
+++ b/src/net/notices.cpp
@@ -54,7 +54,10 @@
 
 void Notices::send() {
   if (!link_ || !link_->isOpen() || !link_->stillGood()) {
-    if (link_) loop_.bury(std::move(link_));
+    if (link_) {
+      link_->close();
+      loop_.bury(std::move(link_));
+    }
     link_ = std::make_unique<HttpLink>(loop_, *this, kAnswerMost);
     if (!link_->open(platform_)) return later();
   }
--- a/src/net/phases.cpp
+++ b/src/net/phases.cpp
@@ -1,6 +1,7 @@
 #include "net/phases.h"
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -34,7 +35,13 @@
     20;                           // of a turn; the rest goes on in the next, behind what has come and is owed
 constexpr int kDecideLook = 64;   // decisions between two looks at the clock
 constexpr Millis kWriteWait = 5;  // a write that is done within it costs no turn of its own
-constexpr std::size_t kSocketsKept = 32;  // for the journal, discovery, the platform, the log and the loop
+constexpr Millis kClockOff = 1;   // two clocks are read one after the other
+constexpr std::size_t kOwnMost = 32;
+constexpr std::size_t kOwnLeast =
+    14;  // three streams, epoll, signals, the listener, the journal and its rewrite,
+         // a thread's, discovery, the platform, one that is being accepted, and two
+constexpr std::size_t kSocketsLeast = 2 * kOwnLeast;
+constexpr std::size_t kProbesOf = 8;  // a part of the connections to endpoints
 
 const char* nameOf(int state) {
   constexpr const char* kNames[] = {"restoring", "serving", "leaving", "finishing", "waiting", "ended"};
@@ -180,6 +187,45 @@
 
 }  // namespace
 
+// Slots beyond a quarter of the descriptors take more, up to half of what is left beside our own.
+Descriptors descriptorsOf(std::size_t sockets, int slots) {
+  if (sockets < kSocketsLeast)
+    throw Malformed("'limits.sockets' is " + std::to_string(sockets) + "; it must be at least " +
+                    std::to_string(kSocketsLeast));
+  Descriptors d;
+  d.own = std::clamp(sockets / 2, kOwnLeast, kOwnMost);
+  std::size_t rest = sockets - d.own;
+  auto wanted = static_cast<std::size_t>(std::max(1, slots));
+  d.links = std::clamp(wanted + wanted / (kProbesOf - 1) + 1, sockets / 4, std::max(sockets / 4, rest / 2));
+  d.probes = std::max<std::size_t>(1, d.links / kProbesOf);
+  d.clients = rest - d.links;
+  d.slots = static_cast<int>(std::min(wanted, d.links - d.probes));
+  return d;
+}
+
+namespace {
+
+// Danger: a process that may hold fewer than its configuration says would find out when clients have taken
+// all.
+Orders withinLimits(Orders orders) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= orders.sockets) return orders;
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, orders.sockets);
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  if (limit.rlim_cur >= orders.sockets) return orders;
+  log::warn("descriptors.fewer", {{"told", orders.sockets}, {"allowed", limit.rlim_cur}});
+  orders.sockets = limit.rlim_cur;
+  return orders;
+}
+
+DeploymentTerms within(DeploymentTerms terms, const Descriptors& descriptors) {
+  terms.slots = descriptors.slots;
+  return terms;
+}
+
+}  // namespace
+
 DeploymentTerms termsOf(const Orders& orders) {
   DeploymentTerms terms = readFacts(orders.settings);
   terms.rooms = readRooms(orders.rooms, readHostFacts(orders.settings).zones);
@@ -187,22 +233,23 @@
 }
 
 Dispatcher::Dispatcher(const Orders& orders, std::function<Orders()> reread)
-    : orders_(orders),
+    : orders_(withinLimits(orders)),
       reread_(std::move(reread)),
-      terms_(termsOf(orders)),
+      terms_(termsOf(orders_)),
+      descriptors_(descriptorsOf(orders_.sockets, terms_.slots)),
       facts_(readHostFacts(orders.settings)),
-      rules_(terms_, orders.seed),
+      rules_(within(terms_, descriptors_), orders.seed),
       admission_(admissionTerms(terms_), orders.seed + 1),
       book_(facts_, orders.state, orders.diskBytes, orders.writesAside),
       catalog_(loop_, rules_, facts_, needAddress(orders.discovery, "discovery"), orders.discovery,
                orders.seed + 2),
-      calls_(loop_, rules_, book_, catalog_, terms_, facts_, orders.sockets / 4),
+      calls_(loop_, rules_, book_, catalog_, terms_, facts_, descriptors_.links, descriptors_.probes),
       notices_(loop_, book_, needAddress(orders.discovery, "discovery"), orders.discovery),
-      intake_(loop_, orders.sockets - orders.sockets / 4 - std::min(orders.sockets / 2, kSocketsKept),
-              orders.memoryBytes / kMemoryForHalves,
+      intake_(loop_, descriptors_.clients, orders.memoryBytes / kMemoryForHalves,
               [this](const auto& words, bool left) { return answer(words, left); }),
       signals_(std::make_unique<Signals>(loop_, endWanted_, rereadWanted_)) {
   needAddress(orders.listen, "listen");
+  loop_.onLack([this] { return intake_.closeIdlest(); });
   if (book_.descriptor() >= 0) landing_ = std::make_unique<Landing>(loop_, book_.descriptor());
 }
 
@@ -216,6 +263,9 @@
                       {"owed", book_.owed().size()}});
 }
 
+// Danger: a wall clock that was set back between two processes makes a launch of the first lie in the future,
+// and the window of its repeat open for as much longer. When it was is not known then: its window passes for
+// over.
 void Dispatcher::restore() {
   rules_.roundBegins(loop_.now());
   if (!orders_.known.empty()) {
@@ -227,15 +277,16 @@
   }
   if (std::size_t cut = book_.restore(); cut > 0) log::warn("journal.torn", {{"bytes", cut}});
   Millis toSteady = loop_.now() - wallNow();
+  catalog_.remember(book_.held());
   for (const auto& [id, held] : book_.held()) {
-    for (const LaunchNote& launch : held.launches) catalog_.remember(launch.endpoint);
     rules_.taken(id, held.type, held.tenant, held.key, held.destination, held.outerWall + toSteady);
     log::debug("callback.restored", {{"callback", held.ref},
                                      {"launches", held.launches.size()},
                                      {"left_ms", held.outerWall + toSteady - loop_.now()}});
     for (const LaunchNote& launch : held.launches) {
-      rules_.launchedBefore(id, catalog_.idOf(launch.endpoint.name), launch.sentWall + toSteady,
-                            launch.neverRan);
+      Millis sent = launch.sentWall + toSteady;
+      if (sent > loop_.now() + kClockOff) sent = 0;
+      rules_.launchedBefore(id, catalog_.idOf(launch.endpoint.name), sent, launch.neverRan);
     }
   }
 }
@@ -356,8 +407,8 @@
   Millis since = loop_.now() - toldToEnd_;
   if (state_ == State::leaving && since >= kAcceptFor) {
     intake_.stopListening();
+    enter(State::finishing);  // what is read from here on is refused
     intake_.leave();
-    enter(State::finishing);
   }
   if (state_ == State::finishing && since >= kLaunchFor) enter(State::waiting);
   bool done = book_.held().empty() && notices_.idle() && intake_.clients() == 0;
@@ -407,7 +458,6 @@
                        hangsSince_ < 0 ? 0 : loop_.now() - hangsSince_, workedThisTurn()};
   AdmissionCall call =
       admission_.asked(facts, terms_.types.at(held.type.value).gain, rules_.overShare(held.tenant));
-    enter(State::finishing);  // what is read from here on is refused
   if (!call.take) return {busy(call.wait)};
   held.outerWall -= loop_.heldUp();  // its time counts from when the client sent it
   Millis outer = loop_.now() + (held.outerWall - wall);
@@ -461,6 +511,9 @@
     log::debug("callback.not_kept", {{"callback", id.value}});
     rules_.clientGone(id);  // its launch, if there is one, is not sent either
   }
+  // Danger: a write that hung in the loop, or long decisions, have made the turn old. What goes out counts
+  // from now.
+  if (loop_.late(kWriteWait)) rules_.roundBegins(loop_.now());
   calls_.send();
   intake_.send([this](CallbackId id) { return book_.decided(id); },
                [this](CallbackId id) -> std::optional<std::string> {
--- a/src/net/phases.h
+++ b/src/net/phases.h
@@ -39,6 +39,17 @@
 Orders readOrders(std::string_view text, const std::function<std::string(const char*)>& get,
                   std::string_view operatorText = {});
 
+// How the descriptors that the dispatcher may hold are dealt out, so that none can take those of another.
+struct Descriptors {
+  std::size_t own{};     // for the journal, discovery, the platform, the log and the loop
+  std::size_t links{};   // connections to endpoints
+  std::size_t probes{};  // of these
+  std::size_t clients{};
+  int slots{};  // launches at once: the deployment's, or what the connections bear
+};
+// Throws Malformed where there are too few for any work.
+Descriptors descriptorsOf(std::size_t sockets, int slots);
+
 // What the deployment and the operator state together. Throws Malformed.
 DeploymentTerms termsOf(const Orders& orders);
 
@@ -89,6 +100,7 @@
   Orders orders_;
   std::function<Orders()> reread_;
   DeploymentTerms terms_;
+  Descriptors descriptors_;
   HostFacts facts_;
   State state_{State::restoring};
   Millis toldToEnd_{0};
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -378,6 +378,7 @@
   Path& p = *at->second.path;
   p.probeOut = false;
   lookAgain(p);
+  if (ending == Ending::notSent) return;
   noteReport(p, at->second, report);
   if (ending != Ending::completed) {
     p.told = true;
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -4,6 +4,8 @@
 #include "net/calls.h"
 
 #include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/resource.h>
 
 #include <nlohmann/json.hpp>
 
@@ -17,7 +19,8 @@
 
 const char* kSettings = R"({"request-classes":[
     {"name":"status","aim-s":1,"deadline-s":10,"effect":"safe"},
-    {"name":"order","aim-s":1,"deadline-s":10,"effect":"unsafe"}],
+    {"name":"order","aim-s":1,"deadline-s":10,"effect":"unsafe"},
+    {"name":"repeat","aim-s":1,"deadline-s":10,"effect":"keyed","repeat-window-s":1,"group":"all"}],
   "family-info":{"call-slots":6,"per-call":[20]},"kinds":["many"],"zones":["a"],
   "limits":{"open-cap":50,"max-attempts":5,"cancel":true,"may-duplicate":false,"conn-idle-s":10,"connect-timeout-s":1.5},
   "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
@@ -37,25 +40,29 @@
   DeploymentTerms terms;
   HostFacts facts = readHostFacts(kSettings);
   Rules rules{terms, 7};
-  net::Book book{facts, folder.path.string(), 3'000'000};
+  std::size_t disk;
+  net::Book book{facts, folder.path.string(), disk};
   net::Catalog catalog{loop, rules, facts, *net::addressOf("127.0.0.1:9"), "nowhere", 1};
-  net::Calls calls{loop, rules, book, catalog, terms, facts, 64};
+  net::Calls calls{loop, rules, book, catalog, terms, facts, 64, 8};
   std::string got;  // by the endpoint
   std::map<std::string, CallbackId> ids;
 
-  explicit Desk(bool mayCopy = false) : terms(withCopies(mayCopy)) {
+  explicit Desk(bool mayCopy = false, std::size_t most = 3'000'000) : terms(withCopies(mayCopy)), disk(most) {
     rules.roundBegins(loop.now());
+    list("in_service");
+  }
+  void list(const std::string& state) {
     catalog.told(nlohmann::json::parse(
-        R"({"version":1,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
-        std::to_string(portOf(listener)) +
-        R"(","zone":"a","kind":"many","cell":7,"state":"in_service","weight":1.0,"started_ms":0}]})"));
+        R"({"version":1,"full":false,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
+        std::to_string(portOf(listener)) + R"(","zone":"a","kind":"many","cell":7,"state":")" + state +
+        R"(","weight":1.0,"started_ms":0}]})"));
   }
   ~Desk() {
     if (far >= 0) ::close(far);
     ::close(listener);
   }
-  void take(const std::string& ref, const std::string& type, Millis left) {
-    net::Held held = book.decode("00", ref, "c=" + type + ",d=1,dest=7", "x", 0);
+  void take(const std::string& ref, const std::string& type, Millis left, const std::string& body = "x") {
+    net::Held held = book.decode("00", ref, "c=" + type + ",d=1,dest=7", body, 0);
     ids[ref] = *book.take(std::move(held));
     const net::Held* kept = book.find(ids[ref]);
     rules.taken(ids[ref], kept->type, {}, {}, DestinationId{7}, loop.now() + left);
@@ -68,19 +75,30 @@
   }
   // What is held goes out in one call, and the endpoint has read it.
   bool sent(const std::string& lastBytes) {
+    decide();
+    return read(lastBytes);
+  }
+  // Decided, noted and sent, as the dispatcher does it. meanwhile: while the journal is written.
+  void decide(const std::function<void()>& meanwhile = [] {}) {
     while (auto d = rules.next()) {
       if (d->act == Act::launch) calls.launch(*d);
     }
     calls.flush();
     book.commit();
+    meanwhile();
+    if (loop.late(5)) rules.roundBegins(loop.now());
     calls.send();
-    far = ::accept(listener, nullptr, nullptr);
-    return within(2000, [&] {
+  }
+  // Whether the endpoint reads up to these bytes, or so many.
+  bool read(const std::string& lastBytes, std::size_t many = 1e9) {
+    return within(1000, [&] {
       turn();
-      char chunk[4096];
-      ssize_t n = ::recv(far, chunk, sizeof chunk, MSG_DONTWAIT);
-      if (n > 0) got.append(chunk, static_cast<std::size_t>(n));
-      return got.ends_with(lastBytes);
+      pollfd waits{listener, POLLIN, 0};
+      if (far < 0 && ::poll(&waits, 1, 0) > 0) far = ::accept(listener, nullptr, nullptr);
+      std::vector<char> chunk(1 << 20);
+      ssize_t n = far < 0 ? 0 : ::recv(far, chunk.data(), chunk.size(), MSG_DONTWAIT);
+      if (n > 0) got.append(chunk.data(), static_cast<std::size_t>(n));
+      return got.ends_with(lastBytes) || got.size() >= many;
     });
   }
   void callOff(const std::string& ref) { calls.withdraw({Act::withdraw, ids[ref], {}, 0, 0}); }
@@ -186,5 +204,139 @@
   }
 }
 
+// Danger: clients hold all descriptors. A launch that could not have one passed for a failed connection, and
+// its destination for out.
+TEST(Calls, ThatLackADescriptorTellNothingOfTheEndpointAndGoOutLater) {
+  Desk desk;
+  desk.take("one", "order", 9000);
+  rlimit usual{};
+  ::getrlimit(RLIMIT_NOFILE, &usual);
+  int next = ::dup(0);
+  ::close(next);
+  rlimit none{static_cast<rlim_t>(next), usual.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &none);
+  desk.decide();
+  for (int n = 0; n < 5; ++n) desk.turn();
+  ::setrlimit(RLIMIT_NOFILE, &usual);
+  EXPECT_FALSE(desk.out("one"));
+  EXPECT_TRUE(desk.rules.state().callbacks.at(desk.ids["one"]).launches.at(0).neverRan);
+  EXPECT_EQ(desk.rules.state().endpoints.begin()->second.failures, 0);
+  EXPECT_FALSE(desk.rules.state().paths.begin()->second.outage);
+  EXPECT_TRUE(within(1000, [&] {
+    desk.turn();
+    desk.decide();
+    return desk.rules.state().callbacks.at(desk.ids["one"]).launches.size() == 2;
+  }));
+}
+
+// A connection is made free where one can be, and the launch goes out at once.
+TEST(Calls, HaveRoomMadeForThem) {
+  Desk desk;
+  desk.take("one", "order", 9000);
+  int idle = ::dup(0);
+  rlimit usual{};
+  ::getrlimit(RLIMIT_NOFILE, &usual);
+  rlimit none{static_cast<rlim_t>(idle) + 1, usual.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &none);
+  desk.loop.onLack([&] { return idle >= 0 && ::close(std::exchange(idle, -1)) == 0; });
+  desk.decide();
+  ::setrlimit(RLIMIT_NOFILE, &usual);
+  EXPECT_EQ(idle, -1);
+  EXPECT_TRUE(desk.read("\r\n\r\nx"));
+}
+
+// Danger: a repeat whose last bytes leave after its window is over: the endpoint has forgotten the first.
+TEST(Calls, HalfWrittenAreBrokenOffWhenTheWindowOfTheRepeatIsOver) {
+  for (bool late : {false, true}) {
+    Desk desk(true, 30'000'000);
+    desk.take("one", "repeat", 9000, std::string(8'000'000, 'x'));
+    desk.rules.launchedBefore(desk.ids["one"], desk.catalog.idOf("s-1"), desk.loop.now(), false);
+    desk.loop.wait(desk.loop.now() + 5);
+    desk.rules.roundBegins(desk.loop.now());
+    desk.decide();
+    desk.far = ::accept(desk.listener, nullptr, nullptr);
+    for (int n = 0; n < 20; ++n) desk.turn();  // as much as the system takes
+    if (late) std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    desk.loop.wait(desk.loop.now());
+    desk.rules.roundBegins(desk.loop.now());
+    EXPECT_EQ(desk.read("xxxx\n\n", 8'000'000), !late);
+    const Launch& launch = desk.rules.state().callbacks.at(desk.ids["one"]).launches.at(1);
+    EXPECT_EQ(launch.neverRan, late);
+  }
+}
+
+// A journal that hung, or a long turn: what was decided is asked again before its bytes leave.
+TEST(Calls, OfATurnThatHasGrownOldAreAskedAgain) {
+  for (bool late : {false, true}) {
+    Desk desk(true);
+    desk.take("one", "repeat", 9000);
+    desk.rules.launchedBefore(desk.ids["one"], desk.catalog.idOf("s-1"), desk.loop.now(), false);
+    desk.loop.wait(desk.loop.now() + 5);
+    desk.rules.roundBegins(desk.loop.now());
+    desk.decide([&] {
+      if (late) std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    });
+    EXPECT_EQ(desk.read("\r\n\r\nx"), !late);
+  }
+}
+
+// The connection that was chosen has ended while the journal was written: nothing is written to it.
+TEST(Calls, OfATurnThatHasGrownOldGoOutOnNoConnectionThatHasEnded) {
+  Desk desk;
+  desk.take("one", "order", 9000);
+  ASSERT_TRUE(desk.sent("\r\n\r\nx"));
+  put(desk.far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(within(1000, [&] {
+    desk.turn();
+    return desk.book.held().empty();
+  }));
+  desk.take("two", "order", 9000);
+  desk.decide([&] {
+    ::shutdown(desk.far, SHUT_RDWR);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  });
+  for (int n = 0; n < 5; ++n) desk.turn();
+  const auto& launches = desk.rules.state().callbacks.at(desk.ids["two"]).launches;
+  EXPECT_TRUE(launches.at(0).neverRan);  // an effectful one, and it may go again
+}
+
+// An endpoint leaves the list, drains, or comes back at another address while a call to it is on its way.
+TEST(Calls, CrossAListThatChanges) {
+  // Decided and in the journal, the connection not up: the drain is told first.
+  Desk desk;
+  desk.take("one", "order", 9000);
+  desk.decide();
+  desk.list("terminating");
+  EXPECT_FALSE(desk.read("x"));
+  EXPECT_TRUE(desk.rules.state().callbacks.at(desk.ids["one"]).launches.at(0).neverRan);
+  // Decided and not noted yet: it has gone altogether.
+  Desk other;
+  other.take("one", "order", 9000);
+  other.decide([&] {
+    other.list("terminated");
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  });
+  EXPECT_FALSE(other.read("x"));
+  EXPECT_TRUE(other.rules.state().callbacks.at(other.ids["one"]).launches.at(0).neverRan);
+  // Back under its name with another address: the kept connection leads to where it was.
+  Desk moved;
+  moved.take("one", "order", 9000);
+  ASSERT_TRUE(moved.sent("\r\n\r\nx"));
+  put(moved.far, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(within(1000, [&] {
+    moved.turn();
+    return moved.book.held().empty();
+  }));
+  int before = std::exchange(moved.listener, loopback(0, true));
+  int old = std::exchange(moved.far, -1);
+  moved.list("in_service");
+  moved.take("two", "order", 9000);
+  moved.got.clear();
+  EXPECT_TRUE(moved.sent("\r\n\r\nx"));
+  EXPECT_NE(moved.got.find("X-Request-Id: two"), std::string::npos);
+  ::close(before);
+  ::close(old);
+}
+
 }  // namespace
 }  // namespace stonewing::testing
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -979,6 +979,119 @@
   EXPECT_EQ(node.end(SIGTERM), 0);
 }
 
+// Danger: descriptors that clients, endpoints and probes may all take, until none is left for discovery.
+TEST(Descriptors, AreDealtOutSoThatNobodyTakesThoseOfAnother) {
+  for (std::size_t sockets : {28, 29, 40, 64, 96, 256, 512, 1024, 65536}) {
+    for (int slots : {1, 2, 30, 200, 5000}) {
+      net::Descriptors d = net::descriptorsOf(sockets, slots);
+      EXPECT_EQ(d.own + d.links + d.clients, sockets);
+      EXPECT_GE(d.own, 14u);
+      EXPECT_GE(d.clients, sockets / 8) << sockets << " " << slots;
+      EXPECT_GE(d.probes, 1u);
+      EXPECT_TRUE(d.slots >= 1 && d.slots <= slots);
+      EXPECT_LE(static_cast<std::size_t>(d.slots) + d.probes, d.links) << sockets << " " << slots;
+    }
+  }
+  EXPECT_EQ(net::descriptorsOf(1024, 200).slots, 200);
+  EXPECT_THROW(net::descriptorsOf(27, 1), Malformed);
+}
+
+// Danger: idle clients hold all descriptors while discovery is silent; then nothing can be delivered, told or
+// asked any more, though clients alone are to blame.
+TEST(Node, IdleClientsTakeNoDescriptorFromTheRest) {
+  for (bool lowered : {false, true}) {
+    StandIn endpoint([](auto&, auto&) { return kOk; });
+    std::string list = R"({"version":2,"full":true,"servers":)" + row(endpoint) + "}";
+    std::atomic<int> asked{0};
+    StandIn world([&](const std::string& head, const std::string& body) -> std::string {
+      if (!head.starts_with("GET") || ++asked > 1) return platform(head, body);
+      return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+    });
+    endpoint.start();
+    Node node(kSettings, row(endpoint), world.address(), R"({"sockets":48,"disk_mb":3})");
+    ASSERT_TRUE(node.start());
+    std::vector<int> idle;
+    for (int n = 0; n < 40; ++n) {
+      idle.push_back(loopback(node.port, false));
+      put(idle.back(), command({"PING"}));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    if (lowered) {  // and now there are fewer than it was told: not one is left
+      rlimit most{20, 20};
+      ASSERT_EQ(::prlimit(node.pid, RLIMIT_NOFILE, &most, nullptr), 0);
+    }
+    EXPECT_TRUE(within(3000, [&] {
+      return node.ask(submit("one", "c=order,d=8000,dest=7") + submit("two", "c=order,d=300,dest=9"), 2) ==
+             "+OK\r\n+OK\r\n";
+    }));
+    EXPECT_TRUE(within(1000, [&] { return endpoint.count("X-Request-Id: one") == 1; }));
+    world.start();
+    EXPECT_TRUE(within(2500, [&] { return asked > 0; }));
+    EXPECT_TRUE(within(2000, [&] { return world.count("\"two\"") > 0; }));
+    for (int fd : idle) ::close(fd);
+    EXPECT_EQ(node.end(SIGTERM), 0);
+  }
+}
+
+// Danger: a wall clock that was set back while no process ran. What was sent lies in the future then, and the
+// window of its repeat would be open for as much longer.
+TEST(Node, AfterAClockSetBackItTakesTheWindowsOfWhatWasOutForOver) {
+  StandIn endpoint([](auto&, auto&) { return kOk; });
+  StandIn world(platform);
+  endpoint.start();
+  world.start();
+  std::string settings =
+      with(R"("effect":"unsafe")", R"("effect":"keyed","repeat-window-s":4,"group":"all")");
+  for (Millis ahead : {5000.0, -100.0}) {
+    Node node(settings, row(endpoint), world.address());
+    std::string ref = ahead > 0 ? "ahead" : "before";
+    {
+      HostFacts facts = readHostFacts(settings);
+      net::Book book(facts, node.folder.path.string(), 3'000'000);
+      auto id = book.take(book.decode("00", ref, "c=order,d=8000,dest=7,k=5c", "x", net::wallNow()));
+      book.launched(*id, {"s-1", DestinationId{7}, KindId{0}, ZoneId{0}}, net::wallNow() + ahead);
+      book.commit();
+    }
+    ASSERT_TRUE(node.start());
+    EXPECT_TRUE(within(1500, [&] { return endpoint.count(ref) + world.count(ref) == 1; }));
+    EXPECT_EQ(endpoint.count(ref), ahead > 0 ? 0u : 1u);
+  }
+}
+
+// What a restart costs: ready is to be ready soon where hundreds come back together on few cores. Each held
+// callback was launched at an endpoint that no list names any more, the dearest case.
+TEST(Node, IsReadySoonWithAFullJournal) {
+  StandIn world(platform);  // discovery is silent
+  for (std::uint32_t many : {1000u, 10000u}) {
+    std::string settings = with("\"open-cap\":50", "\"open-cap\":20000");
+    Node node(settings, row(world), world.address(), R"({"sockets":256,"disk_mb":40})");
+    {
+      HostFacts facts = readHostFacts(settings);
+      net::Book book(facts, node.folder.path.string(), 40'000'000);
+      for (std::uint32_t n = 0; n < many; ++n) {
+        std::string ref = "r" + std::to_string(n);
+        auto id = book.take(book.decode("00", ref, "c=order,d=60000,dest=7", "x", net::wallNow()));
+        ASSERT_TRUE(id.has_value());
+        std::string name = "gone-" + std::to_string(n % 1024);
+        book.launched(*id, {name, DestinationId{7}, KindId{0}, ZoneId{0}}, net::wallNow());
+        book.neverRan(*id, 0);
+      }
+      book.commit();
+    }
+    ASSERT_TRUE(node.start());
+    std::ifstream stat("/proc/" + std::to_string(node.pid) + "/stat");
+    std::string word;
+    double ticks = 0;
+    for (int n = 1; n <= 15 && stat >> word; ++n) ticks += n >= 14 ? std::stod(word) : 0;
+    double seconds = ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    RecordProperty("cpu_s_" + std::to_string(many), std::to_string(seconds));
+    std::cout << many << " held: " << seconds << " s of processor time until ready\n";
+    EXPECT_LT(seconds, 4.0);                                                 // under the sanitizers too
+    EXPECT_EQ(node.ask(submit("r7", "c=order,d=60000,dest=7")), "+OK\r\n");  // it is held
+    node.end(SIGKILL);
+  }
+}
+
 TEST(Orders, SayWhatIsWrong) {
   auto none = [](const char*) { return std::string(); };
   for (auto [text, part] : {std::pair{"nonsense", "JSON"},
