Failing endpoints are probed so that all dispatchers together keep to a cold destination's calls

A dispatcher that saw one endpoint of a path fail probes it after fall span times failures, 3 s, whatever the fleet's size; Rules::trial spaces only probes of paths that are out or cold, and twenty such are several in a span. Ruled out: connections that come up late (the same without), restarts, missing reports, copies; paths with all endpoints failing (left out of the probes: the same figures).

Change: such a probe rests for as many fall spans as there are dispatchers, a cold span at most; and the calls that all together send where their part is not known are one in a fall span, not two, since near N = 1 the term leaves four beyond N to chance.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,7 +56,7 @@
 
 constexpr double kToldShare = 0.55;       // of the fall budget; under two thirds, so ours alone break nothing
 constexpr double kAskedShare = 0.5;       // of what we were asked to bring, thought to be within capacity
-constexpr double kColdTogether = 2;       // sends in a fall span from all instances, at the least
+constexpr double kColdTogether = 1;       // sends in a fall span from all instances, at the least
 constexpr double kFurtherWeight = 0.25;   // of a further callback in a call, in calls
 constexpr double kColdCall = 2;           // most weight of a call to a cold path, in calls
 constexpr double kRoughWeight = 1 / 1.5;  // a listed weight may be half too high
@@ -873,8 +873,10 @@
     if (e.phase != Phase::ready || (!p.outage && e.failures < kFailuresToAvoid)) continue;
     bool turn = p.outage && p.endpoints[p.trialTurn % p.endpoints.size()] == &e;
     if (p.probeOut || (!turn && p.outage)) continue;  // looked at again when the probe has ended
-    Millis due = std::max({p.outage || p.cold ? p.nextPush : restEnds(e), p.waitUntil, p.pauseUntil,
-                           s_.rooms.probeFrom(e.zone)});
+    Millis rest =
+        std::max(restEnds(e), e.failedAt + std::min(terms_.coldSpan, terms_.fallSpan * terms_.instances));
+    Millis due = std::max(
+        {p.outage || p.cold ? p.nextPush : rest, p.waitUntil, p.pauseUntil, s_.rooms.probeFrom(e.zone)});
     if (!reached(due)) {
       s_.trialsDue.insert({due, id});
       continue;
--- a/tests/bench_free.h
+++ b/tests/bench_free.h
@@ -251,6 +251,9 @@
     if (pid > 0) end(SIGKILL);
   }
   bool start() {
+    return spawn() && within(5000, [&] { return ask("*1\r\n$4\r\nPING\r\n") == "+PONG\r\n"; });
+  }
+  bool spawn() {
     std::string command = STONEWING_BINARY;
     std::string arguments[] = {command, "serve", "--log", "off", "--config", config};
     char* argv[] = {arguments[0].data(),
@@ -266,8 +269,7 @@
     std::string order = "ASAN_OPTIONS=verify_asan_link_order=0";
     if (!preloaded.empty()) variables.insert(variables.end(), {preload.data(), order.data()});
     variables.push_back(nullptr);
-    if (::posix_spawn(&pid, command.c_str(), nullptr, nullptr, argv, variables.data()) != 0) return false;
-    return within(5000, [&] { return ask("*1\r\n$4\r\nPING\r\n") == "+PONG\r\n"; });
+    return ::posix_spawn(&pid, command.c_str(), nullptr, nullptr, argv, variables.data()) == 0;
   }
   // The exit code, or minus the signal.
   int end(int signal) {
--- /dev/null
+++ b/tests/cold_test.cpp
@@ -0,0 +1,167 @@
+// A destination that comes back cold bears N + 2 root N + 2 calls in the span that the settings name, N being
+// what they allow it then: of all dispatchers together, few or hundreds, which know nothing of each other.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "bench_free.h"
+
+namespace stonewing::testing {
+namespace {
+
+constexpr Millis kStep = 20;
+constexpr Millis kOutFrom = 15000;
+constexpr Millis kBack = 23000;
+constexpr Millis kUntil = 36000;
+
+struct World {
+  int dispatchers{};
+  double capacity{};  // calls a second
+  double load{0.7};   // of it, all together
+  bool probes{true};
+  bool reports{true};
+  bool restarts{false};  // half of them while the destination is out
+  bool late{false};      // connections come up to a second late
+};
+
+// The most calls in a span beside what is borne then: above 1 the destination falls, and the rule is broken
+// where over two thirds of them came from dispatchers that had been told of the outage.
+struct Push {
+  double most{0};
+  double byTold{0};  // the most of a span of which over two thirds came from such
+};
+
+Push worst(const World& w, std::uint32_t seed) {
+  DeploymentTerms terms = plainTerms();
+  terms.types[0].outer = 6000;
+  terms.slots = 20;
+  terms.heldMost = 2000;
+  terms.instances = w.dispatchers;
+  terms.mayProbe = w.probes;
+  terms.mayCopy = true;
+  terms.launchesMost = 12;
+  terms.limitReported = w.reports;
+  struct End {
+    Millis at;
+    int who;
+    Decision d;
+    Millis sent;
+    bool good;
+    bool operator<(const End& o) const { return at > o.at; }
+  };
+  std::mt19937 chance(seed);
+  auto draw = [&] { return static_cast<double>(chance()) / 4294967296.0; };
+  std::vector<std::unique_ptr<Rules>> all;
+  auto begin = [&](int who, Millis now) {
+    terms.me = static_cast<std::uint32_t>(who);
+    auto rules = std::make_unique<Rules>(terms, seed * 1000 + static_cast<std::uint32_t>(who) + all.size());
+    rules->roundBegins(now);
+    rules->listBegins();
+    for (std::uint64_t n = 1; n <= 2; ++n)
+      rules->listed(endpoint(n), DestinationId{1}, KindId{0}, ZoneId{0}, 1, Phase::ready);
+    rules->listEnds(true);
+    return rules;
+  };
+  std::vector<double> shares;
+  double sum = 0;
+  for (int n = 0; n < w.dispatchers; ++n) {
+    all.push_back(begin(n, 0));
+    shares.push_back(1 / std::pow(n + 1, 0.7));  // uneven: some get several times the mean
+    sum += shares.back();
+  }
+  std::priority_queue<End> ends;
+  std::vector<int> born(all.size(), 0);
+  std::vector<bool> told(all.size(), false);
+  std::vector<std::pair<Millis, bool>>
+      arrivals;  // calls and probes that reach it from its return on; by told
+  std::uint32_t next = 1;
+  for (Millis now = kStep; now < kUntil; now += kStep) {
+    for (auto& rules : all) rules->roundBegins(now);
+    if (w.restarts && std::abs(now - (kOutFrom + 4000)) < kStep / 2) {
+      for (std::size_t n = 0; n < all.size(); n += 2) {
+        all[n] = begin(static_cast<int>(n), now);
+        ++born[n];
+      }
+    }
+    for (; !ends.empty() && ends.top().at <= now; ends.pop()) {
+      const End& e = ends.top();
+      auto n = static_cast<std::size_t>(e.who);
+      if (e.d.span != born[n]) continue;  // of a process that is no more
+      if (!e.good) told[n] = true;
+      Ending ending = e.good ? Ending::completed : Ending::connectFailed;
+      Report report = e.good && w.reports ? Report{w.capacity, 0.6} : Report{};
+      if (e.d.act == Act::probe)
+        all[n]->probeEnded(e.d.endpoint, ending, report);
+      else
+        all[n]->launchEnded(e.d.callback, e.d.launch, ending, now - e.sent, e.good, 0, report);
+    }
+    for (std::size_t n = 0; n < all.size(); ++n) {
+      double rate = w.capacity * w.load * shares[n] / sum * kStep / 1000;
+      int many = std::poisson_distribution<int>(rate)(chance);
+      for (; many > 0; --many)
+        all[n]->taken(CallbackId{next++}, TrafficTypeId{0}, TenantId{0}, KeyId{0}, DestinationId{1},
+                      now + 6000);
+      int lastCall = -1;
+      while (auto d = all[n]->next()) {
+        if (d->act == Act::withdraw)
+          all[n]->launchEnded(d->callback, d->launch, Ending::withdrawn, 100, false, 0, {});
+        if (d->act != Act::launch && d->act != Act::probe) continue;
+        if (d->act == Act::launch) {
+          const auto& launches = all[n]->state().callbacks.at(d->callback).launches;
+          int call = launches.at(static_cast<std::size_t>(d->launch)).call;
+          if (std::exchange(lastCall, call) == call) continue;
+        }
+        Millis arrives = now + 40 + (w.late && draw() < 0.3 ? 1000 * draw() : 0);
+        bool out = arrives >= kOutFrom && arrives < kBack;
+        if (arrives >= kBack) arrivals.emplace_back(arrives, told[n]);
+        Decision kept = *d;
+        kept.span = born[n];
+        ends.push({out ? arrives + 200 : arrives + 40, static_cast<int>(n), kept, now, !out});
+      }
+    }
+  }
+  std::sort(arrivals.begin(), arrivals.end());
+  Push push;
+  double byTold = 0;
+  for (std::size_t i = 0, j = 0; j < arrivals.size() && arrivals[j].first < kBack + terms.coldSpan; ++j) {
+    byTold += arrivals[j].second;
+    while (arrivals[i].first <= arrivals[j].first - terms.fallSpan) byTold -= arrivals[i++].second;
+    double warm = std::min(1.0, (arrivals[j].first - kBack) / terms.coldSpan);
+    double may = w.capacity * (terms.coldFrom + (1 - terms.coldFrom) * warm);
+    double n = terms.fallMultiple * may * terms.fallSpan / 1000;
+    auto many = static_cast<double>(j - i + 1);
+    double part = many / (n + 2 * std::sqrt(n) + 2);
+    push.most = std::max(push.most, part);
+    if (byTold > many * 2 / 3) push.byTold = std::max(push.byTold, part);
+  }
+  return push;
+}
+
+TEST(Cold, IsNotPushedOverByAnyNumberOfDispatchersTogether) {
+  for (int dispatchers : {3, 20, 30, 300}) {
+    for (double capacity : {2.0, 10.0, 60.0}) {
+      for (int form = 0; form < 5; ++form) {
+        World w{dispatchers, capacity};
+        w.probes = form != 1;
+        w.reports = form != 2;
+        w.restarts = form == 3;
+        w.late = form == 4;
+        Push push;
+        std::uint32_t seeds = capacity < 5 && dispatchers < 100 ? 12 : 1;  // few calls: the most chance
+        for (std::uint32_t seed = 1; seed <= seeds; ++seed) {
+          Push p = worst(w, seed);
+          push = {std::max(p.most, push.most), std::max(p.byTold, push.byTold)};
+        }
+        EXPECT_LE(push.byTold, 1) << dispatchers << " dispatchers, " << capacity << ", form " << form;
+        std::cout << dispatchers << " " << capacity << " form " << form << ": " << push.most << " "
+                  << push.byTold << "\n";
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace stonewing::testing
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1092,6 +1092,86 @@
   }
 }
 
+// SIGTERM crosses a second one, a new configuration, and half an answer to an effectful callback.
+TEST(Node, ToldToEndTwiceAndToRereadItTellsTheNewPlatformAndKeepsTheRest) {
+  StandIn endpoint([](auto&, auto&) { return "HTTP/1.1 2"; });
+  StandIn first([](auto&, auto&) { return ""; });  // silent on notices too
+  StandIn second(platform);
+  endpoint.start();
+  first.start();
+  second.start();
+  Node node(kSettings, row(endpoint), first.address());
+  ASSERT_TRUE(node.start());
+  EXPECT_EQ(node.ask(submit("over", "c=order,d=200,dest=9") + submit("half", "c=order,d=9000,dest=7") +
+                         submit("stays", "c=order,d=60000,dest=9"),
+                     3),
+            "+OK\r\n+OK\r\n+OK\r\n");
+  ASSERT_TRUE(within(2000, [&] { return first.count("\"over\"") > 0 && endpoint.calls().size() == 1; }));
+  node.replace(node.text(second.address()));
+  ::kill(node.pid, SIGTERM);
+  ::kill(node.pid, SIGHUP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_TRUE(within(1000, [&] { return second.count("\"over\"") == 1; }));
+  auto began = std::chrono::steady_clock::now();
+  EXPECT_EQ(node.end(SIGTERM), 0);
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::milliseconds(3700));
+  ASSERT_TRUE(node.start());
+  EXPECT_TRUE(within(2000, [&] { return second.count("\"half\"") == 1; }));  // it may have run
+  EXPECT_EQ(endpoint.calls().size(), 1u);
+  EXPECT_EQ(node.ask(submit("stays", "c=order,d=60000,dest=9")), "+OK\r\n");  // still held
+  EXPECT_EQ(second.count("\"stays\""), 0u);
+}
+
+// SIGTERM before the start is over, with much to read: nothing is lost by it, nor by a kill in the replay.
+TEST(Node, EndedInTheMiddleOfItsStartItKeepsAllItHeld) {
+  constexpr int kMany = 20000;
+  StandIn world(platform);
+  world.start();
+  std::string settings = with("\"open-cap\":50", "\"open-cap\":30000");
+  Node node(settings, row(world, "plain", "terminating"), world.address(), R"({"sockets":256,"disk_mb":80})");
+  {
+    HostFacts facts = readHostFacts(settings);
+    net::Book book(facts, node.folder.path.string(), 80'000'000);
+    for (int n = 0; n < kMany; ++n) {
+      std::string ref = "r" + std::to_string(n);
+      ASSERT_TRUE(book.take(book.decode("00", ref, "c=order,d=60000,dest=7", "x", net::wallNow())));
+    }
+    book.commit();
+  }
+  for (int wait : {0, 10}) {
+    for (int signal : {SIGTERM, SIGKILL}) {
+      ASSERT_TRUE(node.spawn());
+      std::this_thread::sleep_for(std::chrono::milliseconds(wait));
+      node.end(signal);
+    }
+  }
+  ASSERT_TRUE(node.start());
+  for (const char* ref : {"r0", "r9999", "r19999"})
+    EXPECT_EQ(node.ask(submit(ref, "c=order,d=1,dest=7")), "+OK\r\n") << ref;  // held under its first time
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  EXPECT_EQ(world.count("/reports"), 0u);
+}
+
+// What a restart finds untried is tried, however much of it there is, and soon.
+TEST(Node, TriesAllThatARestartFindsUntried) {
+  constexpr int kMany = 47;  // the most that settings let it hold, less the room that is kept
+  StandIn endpoint([](auto&, auto&) { return kOk; });
+  StandIn world(platform);
+  endpoint.start();
+  world.start();
+  Node node(kSettings, row(endpoint, "plain", "terminating"), world.address());
+  ASSERT_TRUE(node.start());
+  std::string all;
+  for (int n = 0; n < kMany; ++n) all += submit("c" + std::to_string(n), "c=order,d=9000,dest=7");
+  node.ask(all, kMany);
+  EXPECT_EQ(node.end(SIGKILL), -SIGKILL);
+  Node after(kSettings, row(endpoint), world.address());
+  std::filesystem::copy(node.folder.path / "journal", after.folder.path / "journal");
+  ASSERT_TRUE(after.start());
+  EXPECT_TRUE(within(4000, [&] { return endpoint.calls().size() == kMany; }));
+  EXPECT_EQ(world.count("/reports"), 0u);
+}
+
 TEST(Orders, SayWhatIsWrong) {
   auto none = [](const char*) { return std::string(); };
   for (auto [text, part] : {std::pair{"nonsense", "JSON"},
