--- a/src/core/facts.cpp
+++ b/src/core/facts.cpp
@@ -57,10 +57,19 @@
   return found;
 }
 
+[[noreturn]] void wrong(const std::string& type, const std::string& key, const json& value,
+                        const std::string& right) {
+  throw Malformed("setting '" + key + "' of class '" + type + "' is " + value.dump() + "; it must be " +
+                  right);
+}
+
 TrafficType trafficType(const json& row) {
   TrafficType t;
+  auto name = orElse<std::string>(row, "name", "");
   t.promised = millis(row, "aim-s");
+  if (t.promised <= 0) wrong(name, "aim-s", row["aim-s"], "more than 0");
   t.outer = millis(row, "deadline-s");
+  if (t.outer <= 0) wrong(name, "deadline-s", row["deadline-s"], "more than 0");
   t.gain = orElse(row, "importance", 1.0);
   t.lateShare = orElse(row, "late-worth", 0.0);
   t.ordered = orElse(row, "keep-order", false);
@@ -70,15 +79,16 @@
   } else if (effect == "keyed") {
     t.effect = Effect::receipted;
     t.repeatWindow = millis(row, "repeat-window-s");
+    if (t.repeatWindow < 0) wrong(name, "repeat-window-s", row["repeat-window-s"], "0 or more");
     std::string group = get<std::string>(row, "group");
     // A cell is a destination: all the endpoints that a callback may go to.
     if (group != "all" && group != "zone" && group != "cell")
-      throw Malformed("setting 'group' has unknown value " + group);
+      wrong(name, "group", group, "\"all\", \"zone\" or \"cell\"");
     t.zoneGroup = group == "zone";
   } else if (effect == "unsafe") {
     t.effect = Effect::effectful;
   } else {
-    throw Malformed("setting 'effect' has unknown value " + effect);
+    wrong(name, "effect", effect, "\"safe\", \"keyed\" or \"unsafe\"");
   }
   return t;
 }
@@ -89,6 +99,8 @@
   const json facts = parsed(text);
   DeploymentTerms terms;
   for (const json& row : get<json>(facts, "request-classes")) terms.types.push_back(trafficType(row));
+  if (terms.types.empty())
+    throw Malformed("setting 'request-classes' is empty; it must name a class or more");
   const json family = get<json>(facts, "family-info");
   auto apart = orElse(family, "kind-apart", std::vector<bool>{});
   auto perCall = orElse(family, "per-call", std::vector<int>{});
