No launch goes out on a kept connection that has ended or spoken since it was chosen

Found by forcing a crossing that docs/sockets.md listed as open: stray bytes on a resting connection. In between: - an endpoint that closed it made the launch pass for one that may have run: an effectful callback ends as given up; - an answer that nobody had asked for was taken for the launch's own: "two" passed for delivered, seen in the test ("Value of: desk.book.holds("two") Actual: false"). stillWanted is asked for each launch now; the module's part of it still only where the turn has grown. What comes after that look can't be told from an answer.

--- a/src/net/calls.cpp
+++ b/src/net/calls.cpp
@@ -107,7 +107,7 @@
     for (const Member& m : line->members) {
       if (book_.find(m.callback) == nullptr || book_.lostLaunch(m.callback, m.launch)) withhold(*line);
     }
-    if (!line->failed && loop_.now() > line->sent && !stillWanted(*line)) continue;
+    if (!line->failed && !stillWanted(*line)) continue;
     if (!line->failed && line->up()) write(*line);
     if (!line->failed) line->begin();
     settle(*line);
@@ -115,15 +115,19 @@
 }
 
 // Danger: a write of the journal that hung has kept a launch back. Sent as if nothing had been, it could
-// reach an endpoint that drains by now or has told to wait, or go out past the window of a repeat, or on a
-// connection that has ended meanwhile; and its endpoint would pass for one that was silent so long.
+// reach an endpoint that drains by now or has told to wait, or go out past the window of a repeat; and its
+// endpoint would pass for one that was silent so long. And, however short that write: the kept connection has
+// ended meanwhile, and the launch passes for one that may have run; or its endpoint has said something on it
+// that nobody asked for, and the launch passes for answered by that.
 bool Calls::stillWanted(Line& line) {
   auto may = [&](const Member& m) { return loop_.now() < m.due && rules_.mayBegin(m.callback, m.launch); };
-  bool ended = line.up() && !line.stillGood();
-  if (ended || !std::all_of(line.members.begin(), line.members.end(), may)) {
+  bool spoilt = line.up() && !line.stillGood();
+  bool keptBack = loop_.now() > line.sent;
+  if (spoilt || (keptBack && !std::all_of(line.members.begin(), line.members.end(), may))) {
     letGo(line, Ending::notSent);
     return false;
   }
+  if (!keptBack) return true;
   line.sent = loop_.now();
   for (const Member& m : line.members) rules_.goesOutNow(m.callback, m.launch);
   return true;
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -318,6 +318,57 @@
   EXPECT_TRUE(launches.at(0).neverRan);  // an effectful one, and it may go again
 }
 
+// A connection that rests, and bytes of its endpoint on it that nobody asked for: half a line, or an answer
+// before its question. Danger: the next call takes them for its own answer, and passes for delivered.
+TEST(Calls, GoOutOnNoConnectionWithStrayBytesOnIt) {
+  for (std::string stray : {"HT", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}) {
+    // While it rests and the loop has heard of them; while it rests and the loop has not; while the journal
+    // is written, the call decided and the connection chosen; all of that, and nothing looked at in between.
+    for (int when : {0, 1, 2}) {
+      Desk desk;
+      desk.take("one", "order", 9000);
+      ASSERT_TRUE(desk.sent("\r\n\r\nx"));
+      ASSERT_TRUE(desk.answered());
+      int old = std::exchange(desk.far, -1);
+      auto speak = [&] { put(old, stray); };
+      if (when < 2) speak();
+      for (int n = 0; when == 0 && n < 5; ++n) desk.turn();
+      desk.take("two", "order", 9000);
+      desk.got.clear();
+      desk.decide(when == 2 ? std::function<void()>(speak) : [] {});
+      EXPECT_EQ(desk.read("\r\n\r\nx"), when < 2) << when;  // on a new connection, or not at all
+      char byte;
+      EXPECT_LE(::recv(old, &byte, 1, MSG_DONTWAIT), 0) << "two went to it";
+      ASSERT_TRUE(desk.book.holds("two")) << when << stray;  // and nothing has answered it
+      const Launch& launch = desk.rules.state().callbacks.at(desk.ids["two"]).launches.at(0);
+      EXPECT_EQ(launch.out, when < 2);
+      EXPECT_EQ(launch.neverRan, when == 2);
+      ::close(old);
+    }
+  }
+}
+
+// An answer comes half before and half after what its callback waits for: the end of the clients, a signal, a
+// turn in which nothing else happens. It counts as one, and counts once.
+TEST(Calls, HalfAnsweredEndByTheWholeAnswer) {
+  for (std::size_t cut = 1; cut < 38; ++cut) {
+    Desk desk;
+    desk.take("one", "order", 9000);
+    ASSERT_TRUE(desk.sent("\r\n\r\nx"));
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    put(desk.far, answer.substr(0, cut));
+    for (int n = 0; n < 2; ++n) desk.turn();
+    ASSERT_TRUE(desk.book.holds("one")) << cut;
+    EXPECT_TRUE(desk.out("one")) << cut;
+    put(desk.far, answer.substr(cut));
+    EXPECT_TRUE(within(1000, [&] {
+      desk.turn();
+      return desk.book.held().empty();
+    }));
+    EXPECT_TRUE(desk.book.owed().empty());
+  }
+}
+
 // An endpoint leaves the list, drains, or comes back at another address while a call to it is on its way.
 TEST(Calls, CrossAListThatChanges) {
   // Decided and in the journal, the connection not up: the drain is told first.
