--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1203,7 +1203,7 @@
 }
 
 // SIGKILL again and again, wherever the replay, the calls, the ends and the notices are just then; the next
-// process goes on from what was written. No effect twice, none without an end, none with two kinds of end.
+// process goes on from what was written. No effect twice, none without an end.
 TEST(Node, KilledAgainAndAgainWhileItDeliversItLosesNothingAndRepeatsNoEffect) {
   constexpr int kMany = 1000;
   StandIn endpoint([](auto&, auto&) { return kOk; });
