Formatting of a comment that left wrong

Change: the comment as clang-format breaks it. Measured: lint passes; Calls.*, Node.Killed* and Node.Idle* pass in the plain build (14 of 14).

--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -324,8 +324,8 @@
 // before its question. Danger: the next call takes them for its own answer, and passes for delivered.
 TEST(Calls, GoOutOnNoConnectionWithStrayBytesOnIt) {
   for (std::string stray : {"HT", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}) {
-    // While it rests and the loop has heard of them; while it rests and the loop has not; while the journal is
-    // written, the call decided and the connection chosen.
+    // While it rests and the loop has heard of them; while it rests and the loop has not; while the journal
+    // is written, the call decided and the connection chosen.
     for (int when : {0, 1, 2}) {
       Desk desk;
       desk.take("one", "order", 9000);
