Log why each connection closes, which connection an attempt used, and counters

Change: attempt.finished at info, at a bounded rate, with connection, exchange and status; connection.closed with its cause; delivery.counters every 10 s. HttpClientConnection states why it broke. An idle connection no longer breaks at an event that brings no bytes: readIdle took the kept response for new bytes.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -18,6 +18,11 @@
   return static_cast<EndpointConnection&>(httpConnection);  // the pool creates no other type
 }
 
+// Why a connection was closed at the end of its response.
+CloseCause causeAfterResponse(const EndpointConnection& connection) {
+  return connection.unexpectedBytes().empty() ? CloseCause::endedByResponse : CloseCause::unexpectedBytes;
+}
+
 }  // namespace
 
 AttemptSender::AttemptSender(EventLoop& loop, DispatchPolicy& policy, MessageStore& store,
@@ -30,7 +35,7 @@
       mayHedge_(settings.mayHedge),
       log_(discovery),
       recorder_(loop, policy, store, names, log_),
-      pool_(loop, *this, policy, settings, names, {maxConnections, maxHealthChecks}) {}
+      pool_(loop, *this, policy, settings, names, {maxConnections, maxHealthChecks}, log_) {}
 
 void AttemptSender::sendAttempt(const SendAttempt& decision) {
   const StoredMessage* message = store_.find(decision.message);
@@ -86,14 +91,16 @@
 
 void AttemptSender::sendBatch(EndpointConnection& connection) {
   connection.removeFinishedAttempts();
-  if (connection.attempts().empty()) return release(connection);
+  if (connection.attempts().empty()) return release(connection, CloseCause::cancelled);
   for (const BatchedAttempt& attempt : connection.attempts()) {
     if (store_.find(attempt.message) == nullptr || store_.isLostAttempt(attempt.message, attempt.attempt)) {
       connection.setStartFailure(EndpointConnection::StartFailure::localResources);
     }
   }
   if (!connection.hasFailedToStart()) {
-    if (!isStillSendable(connection)) return finishAllAndRelease(connection, AttemptOutcome::notSent);
+    if (!isStillSendable(connection)) {
+      return finishAllAndRelease(connection, AttemptOutcome::notSent, CloseCause::notSent);
+    }
     recordDelayedSend(connection);
     if (connection.isConnected()) writeRequest(connection);
     connection.startExchange();
@@ -156,7 +163,9 @@
   pool_.update(connection);
 }
 
-void AttemptSender::closeIdleConnection(EndpointId endpoint) { pool_.closeIdle(endpoint); }
+void AttemptSender::closeIdleConnection(EndpointId endpoint) {
+  pool_.closeIdle(endpoint, CloseCause::requestedByPolicy);
+}
 
 void AttemptSender::cancelAttempt(const CancelAttempt& decision) {
   std::pair key{decision.message, decision.attempt};
@@ -174,7 +183,7 @@
       });
   if (attempt != connection.attempts().end()) cancelOnConnection(connection, *attempt);
   finishUselessAttempts(connection);
-  if (connection.areAllAttemptsFinished()) release(connection);
+  if (connection.areAllAttemptsFinished()) release(connection, CloseCause::cancelled);
 }
 
 void AttemptSender::cancelOnConnection(EndpointConnection& connection, BatchedAttempt& attempt) {
@@ -243,7 +252,7 @@
   }
   connection.removeFinishedAttempts();
   if (connection.attempts().empty()) {
-    release(connection);
+    release(connection, CloseCause::notSent);
     return false;
   }
   writeRequest(connection);
@@ -260,7 +269,7 @@
       connection.attempts().begin(), connection.attempts().end(), [this](const BatchedAttempt& attempt) {
         return attempt.isFinished() || policy_.mayStartAttempt(attempt.message, attempt.attempt);
       });
-  if (!mayAll) finishAllAndRelease(connection, AttemptOutcome::notSent);
+  if (!mayAll) finishAllAndRelease(connection, AttemptOutcome::notSent, CloseCause::notSent);
   return mayAll;
 }
 
@@ -285,7 +294,7 @@
     }
   }
   connection.clearRequest();
-  if (!connection.isOpen()) return release(connection);
+  if (!connection.isOpen()) return release(connection, causeAfterResponse(connection));
   pool_.update(connection);
 }
 
@@ -301,10 +310,21 @@
     outcome = outcomeWithoutResponse(connection, AttemptOutcome::reset);
   }
   if (connection.isHealthCheck()) finishHealthCheck(connection, outcome);
-  finishAllAndRelease(connection, outcome);
+  finishAllAndRelease(connection, outcome, causeOfBreak(connection));
+}
+
+// Why the sender closes a connection that broke, was not established in time or did not complete a response.
+CloseCause AttemptSender::causeOfBreak(const EndpointConnection& connection) const {
+  if (connection.startFailure() == EndpointConnection::StartFailure::localResources) {
+    return CloseCause::localResources;
+  }
+  if (connection.failure() != ConnectionFailure::none) return closeCauseOf(connection.failure());
+  if (!connection.isConnected()) return CloseCause::connectFailed;
+  return CloseCause::incompleteResponse;
 }
 
 void AttemptSender::onTick() {
+  log_.logCounters(loop_.now());
   pool_.followReusableIdleTime();
   while (EndpointConnection* connection = pool_.firstDue()) handleDue(*connection);
 }
@@ -321,16 +341,16 @@
   bool isConnectOverdue = loop_.now() >= pool_.connectDeadline(connection);
   if (connection.hasFailedToStart() || isResponseOverdue || isConnectOverdue) return onBroken(connection);
   if (!connection.isBusy()) {
-    if (loop_.now() >= pool_.idleDeadline(connection)) return release(connection);
+    if (loop_.now() >= pool_.idleDeadline(connection)) return release(connection, CloseCause::idleTooLong);
     return pool_.update(connection);
   }
   if (connection.isHealthCheck() && loop_.now() >= pool_.healthCheckDeadline(connection)) {
     finishHealthCheck(connection, AttemptOutcome::timeout);
-    return release(connection);
+    return release(connection, CloseCause::timedOut);
   }
   timeOutAttempts(connection);
   finishUselessAttempts(connection);
-  if (connection.areAllAttemptsFinished()) return release(connection);
+  if (connection.areAllAttemptsFinished()) return release(connection, CloseCause::timedOut);
   pool_.update(connection);
 }
 
@@ -355,10 +375,11 @@
   recorder_.record(connection, attempt, result);
 }
 
-void AttemptSender::finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome) {
+void AttemptSender::finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome,
+                                        CloseCause cause) {
   for (BatchedAttempt& attempt : connection.attempts()) finishAttempt(connection, attempt, {outcome});
   connection.attempts().clear();
-  release(connection);
+  release(connection, cause);
 }
 
 void AttemptSender::finishHealthCheck(EndpointConnection& connection, AttemptOutcome outcome,
@@ -367,12 +388,12 @@
   policy_.recordHealthCheckOutcome(connection.endpoint(), outcome, report);
 }
 
-void AttemptSender::release(EndpointConnection& connection) {
+void AttemptSender::release(EndpointConnection& connection, CloseCause cause) {
   std::erase(awaitingCommit_, &connection);
   for (const BatchedAttempt& attempt : connection.attempts()) {
     connectionOfAttempt_.erase({attempt.message, attempt.attempt});
   }
-  pool_.release(connection);
+  pool_.release(connection, cause);
 }
 
 }  // namespace stonewing
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -92,9 +92,10 @@
   void timeOutAttempts(EndpointConnection& connection);
 
   void finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result);
-  void finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome);
+  void finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome, CloseCause cause);
   void finishHealthCheck(EndpointConnection& connection, AttemptOutcome outcome, LoadReport report = {});
-  void release(EndpointConnection& connection);
+  CloseCause causeOfBreak(const EndpointConnection& connection) const;
+  void release(EndpointConnection& connection, CloseCause cause);
 
   EventLoop& loop_;
   DispatchPolicy& policy_;
--- a/src/delivery/connection_pool.cpp
+++ b/src/delivery/connection_pool.cpp
@@ -21,12 +21,13 @@
 
 ConnectionPool::ConnectionPool(EventLoop& loop, HttpClientConnection::Observer& observer,
                                const DispatchPolicy& policy, const DeploymentSettings& settings,
-                               const NameTables& names, ConnectionLimits limits)
+                               const NameTables& names, ConnectionLimits limits, DeliveryLog& log)
     : loop_(loop),
       observer_(observer),
       policy_(policy),
       connectTimeout_(names.connectTimeout > 0 ? names.connectTimeout : kNever),
-      limits_(limits) {
+      limits_(limits),
+      log_(log) {
   if (settings.connectionIdleTimeout > 0) maxIdleTime_ = settings.connectionIdleTimeout;
   // A request that is written near the end of the idle time may cross with the endpoint's close of the
   // connection. It would end as a reset, which does not prove whether the request was executed. So a
@@ -61,10 +62,10 @@
       removeFromIndexes(*idle);
       return *idle;
     }
-    closeIdle(endpoint);
+    closeIdle(endpoint, CloseCause::notReusable);
   }
   if (connections_.size() >= limits_.maxConnections && !leastRecentlyUsed_.empty()) {
-    release(*leastRecentlyUsed_.begin()->connection);
+    release(*leastRecentlyUsed_.begin()->connection, CloseCause::replaced);
   }
   return open(endpoint, target);
 }
@@ -73,6 +74,8 @@
   connections_.push_back(std::make_unique<EndpointConnection>(loop_, observer_, kMaxResponseBytes, endpoint));
   EndpointConnection& connection = *connections_.back();
   connection.position_ = std::prev(connections_.end());
+  connection.number_ = ++lastNumber_;
+  log_.countOpened();
   if (target == nullptr) {
     connection.setStartFailure(EndpointConnection::StartFailure::localResources);
     return connection;
@@ -86,7 +89,8 @@
   return connection;
 }
 
-void ConnectionPool::release(EndpointConnection& connection) {
+void ConnectionPool::release(EndpointConnection& connection, CloseCause cause) {
+  log_.connectionClosed(connection, cause, loop_.now());
   removeFromIndexes(connection);
   if (connection.isHealthCheck()) endHealthCheck(connection);
   auto position = connection.position_;
@@ -95,11 +99,11 @@
   connections_.erase(position);
 }
 
-void ConnectionPool::closeIdle(EndpointId endpoint) {
+void ConnectionPool::closeIdle(EndpointId endpoint, CloseCause cause) {
   for (;;) {
     auto first = idleByEndpoint_.lower_bound({endpoint, kBeforeAllTimes, nullptr});
     if (first == idleByEndpoint_.end() || first->endpoint != endpoint) return;
-    release(*first->connection);
+    release(*first->connection, cause);
   }
 }
 
--- a/src/delivery/connection_pool.h
+++ b/src/delivery/connection_pool.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <set>
 
+#include "delivery/close_cause.h"
+#include "delivery/delivery_log.h"
 #include "delivery/endpoint_connection.h"
 #include "discovery/discovery_client.h"
 #include "policy/dispatch_policy.h"
@@ -38,7 +40,8 @@
  public:
   // `observer` receives the events of all connections. All references must outlive the pool.
   ConnectionPool(EventLoop& loop, HttpClientConnection::Observer& observer, const DispatchPolicy& policy,
-                 const DeploymentSettings& settings, const NameTables& names, ConnectionLimits limits);
+                 const DeploymentSettings& settings, const NameTables& names, ConnectionLimits limits,
+                 DeliveryLog& log);
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
@@ -48,9 +51,9 @@
   // all the same.
   EndpointConnection& acquire(EndpointId endpoint, const DiscoveredEndpoint* target);
   // Closes a connection and removes it from the pool; the object is deleted at the end of the turn.
-  void release(EndpointConnection& connection);
+  void release(EndpointConnection& connection, CloseCause cause);
   // Releases all idle connections to an endpoint.
-  void closeIdle(EndpointId endpoint);
+  void closeIdle(EndpointId endpoint, CloseCause cause);
 
   // Updates the index entries of a connection. Must be called after a change on which its due time depends.
   void update(EndpointConnection& connection);
@@ -113,6 +116,8 @@
   Millis maxIdleTime_{kNever};
   Millis lastReusableIdleTime_{kNever};  // at the last call of followReusableIdleTime()
   ConnectionLimits limits_;
+  DeliveryLog& log_;
+  std::uint64_t lastNumber_{0};
   std::size_t healthChecksInFlight_{0};
   std::list<std::unique_ptr<EndpointConnection>> connections_;
   std::set<TimedConnection> dueTimes_;
--- a/src/delivery/delivery_log.cpp
+++ b/src/delivery/delivery_log.cpp
@@ -5,6 +5,11 @@
 namespace stonewing {
 namespace {
 
+// For the ends of attempts and for those of connections, each.
+constexpr double kLinesPerSecond = 10;
+constexpr double kLineBurst = 100;
+constexpr Millis kCountersIntervalMs = 10'000;
+
 const char* outcomeName(AttemptOutcome outcome) {
   switch (outcome) {
     case AttemptOutcome::completed:
@@ -31,6 +36,15 @@
 
 }  // namespace
 
+DeliveryLog::DeliveryLog(const DiscoveryClient& discovery)
+    : discovery_(discovery),
+      attemptLines_(kLinesPerSecond, kLineBurst),
+      connectionLines_(kLinesPerSecond, kLineBurst) {}
+
+bool DeliveryLog::mayLog(log::RateLimit& limit, Millis now) const {
+  return log::isEnabled(log::Level::debug) || (log::isEnabled(log::Level::info) && limit.allow(now));
+}
+
 std::string_view DeliveryLog::nameOf(EndpointId endpoint) const {
   const DiscoveredEndpoint* found = discovery_.find(endpoint);
   return found == nullptr ? std::string_view("gone") : std::string_view(found->record.name);
@@ -41,12 +55,15 @@
   log::debug("attempt.sent", {{"message", attempt.reference},
                               {"attempt", attempt.attempt},
                               {"endpoint", nameOf(connection.endpoint())},
+                              {"connection", connection.number()},
                               {"timeout_ms", attempt.timeoutAt - now}});
 }
 
 void DeliveryLog::attemptWritten(const EndpointConnection& connection, const BatchedAttempt& attempt) const {
   log::debug("attempt.written", {{"message", attempt.reference},
                                  {"attempt", attempt.attempt},
+                                 {"connection", connection.number()},
+                                 {"earlier_exchanges", connection.exchangeCount()},
                                  {"batch_size", connection.attempts().size()}});
 }
 
@@ -55,15 +72,22 @@
 }
 
 void DeliveryLog::attemptFinished(const EndpointConnection& connection, const BatchedAttempt& attempt,
-                                  const AttemptResult& result, const LoadReport& report, Millis now) const {
-  log::debug("attempt.finished", {{"message", attempt.reference},
-                                  {"attempt", attempt.attempt},
-                                  {"endpoint", nameOf(connection.endpoint())},
-                                  {"outcome", outcomeName(result.outcome)},
-                                  {"spent_ms", now - connection.sentAt()},
-                                  {"retry_after_ms", result.retryAfter},
-                                  {"rate_limit", report.rateLimit},
-                                  {"remaining", report.remainingShare}});
+                                  const AttemptResult& result, const LoadReport& report, Millis now) {
+  counters_.countAttempt(result.outcome);
+  if (!mayLog(attemptLines_, now)) return;
+  log::event(log::Level::info, "attempt.finished",
+             {{"message", attempt.reference},
+              {"attempt", attempt.attempt},
+              {"endpoint", nameOf(connection.endpoint())},
+              {"outcome", outcomeName(result.outcome)},
+              {"spent_ms", now - connection.sentAt()},
+              {"retry_after_ms", result.retryAfter},
+              {"rate_limit", report.rateLimit},
+              {"remaining", report.remainingShare},
+              {"connection", connection.number()},
+              {"exchange", connection.exchangeCount()},
+              {"status", connection.status()},
+              {"suppressed", attemptLines_.takeSuppressed()}});
 }
 
 void DeliveryLog::attemptResourceExhausted(const EndpointConnection& connection) const {
@@ -81,4 +105,36 @@
              {{"endpoint", nameOf(connection.endpoint())}, {"status", connection.status()}});
 }
 
+void DeliveryLog::connectionClosed(const EndpointConnection& connection, CloseCause cause, Millis now) {
+  counters_.countClosed(cause);
+  if (!mayLog(connectionLines_, now)) return;
+  Millis idle = connection.exchangeCount() > 0 && !connection.isBusy() ? now - connection.lastUsedAt() : 0;
+  log::event(log::Level::info, "connection.closed",
+             {{"connection", connection.number()},
+              {"endpoint", nameOf(connection.endpoint())},
+              {"cause", stonewing::nameOf(cause)},
+              {"exchanges", connection.exchangeCount()},
+              {"idle_ms", idle},
+              {"suppressed", connectionLines_.takeSuppressed()}});
+}
+
+void DeliveryLog::logCounters(Millis now) {
+  if (now < countersDueAt_ || counters_ == loggedCounters_) return;
+  countersDueAt_ = now + kCountersIntervalMs;
+  loggedCounters_ = counters_;
+  log::info("delivery.counters",
+            {{"completed", counters_.attempts(AttemptOutcome::completed)},
+             {"error", counters_.attempts(AttemptOutcome::error)},
+             {"rejected", counters_.attempts(AttemptOutcome::rejected)},
+             {"timeout", counters_.attempts(AttemptOutcome::timeout)},
+             {"connect_failed", counters_.attempts(AttemptOutcome::connectFailed)},
+             {"reset", counters_.attempts(AttemptOutcome::reset)},
+             {"cancelled", counters_.attempts(AttemptOutcome::cancelled)},
+             {"not_sent", counters_.attempts(AttemptOutcome::notSent)},
+             {"connections", counters_.opened()},
+             {"closed_by_endpoint", counters_.closed(CloseCause::endedByPeer)},
+             {"closed_malformed", counters_.closed(CloseCause::malformedResponse)},
+             {"closed_unexpected_bytes", counters_.closed(CloseCause::unexpectedBytes)}});
+}
+
 }  // namespace stonewing
--- a/src/delivery/endpoint_connection.h
+++ b/src/delivery/endpoint_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <optional>
@@ -48,6 +49,8 @@
       : HttpClientConnection(loop, observer, maxResponseBytes), endpoint_(endpoint) {}
 
   EndpointId endpoint() const { return endpoint_; }
+  // The number of this connection among all of the process, from 1; it identifies the connection in the log.
+  std::uint64_t number() const { return number_; }
 
   // The attempts of the current request, in their order in the request; empty for a health check, or while
   // the connection is idle. References to elements stay valid until the request ends or finished attempts are
@@ -98,6 +101,7 @@
   std::optional<Millis> responseDueAt_;
 
   // Changed only by the pool.
+  std::uint64_t number_{0};
   sockaddr_in address_{};
   bool isHealthCheck_{false};  // the pool counts the health checks in flight
   Millis lastUsedAt_{0};       // part of the key in the pool's two idle indexes
--- a/src/delivery/outcome_recorder.h
+++ b/src/delivery/outcome_recorder.h
@@ -16,7 +16,7 @@
  public:
   // All references must outlive the recorder.
   OutcomeRecorder(const EventLoop& loop, DispatchPolicy& policy, MessageStore& store, const NameTables& names,
-                  const DeliveryLog& log)
+                  DeliveryLog& log)
       : loop_(loop), policy_(policy), store_(store), names_(names), log_(log) {}
 
   // Marks an attempt of a connection's request as finished, and records its result. If the attempt was
@@ -37,7 +37,7 @@
   DispatchPolicy& policy_;
   MessageStore& store_;
   const NameTables& names_;
-  const DeliveryLog& log_;
+  DeliveryLog& log_;
 };
 
 }  // namespace stonewing
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -56,7 +56,8 @@
   return hasNothingToRead && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void HttpClientConnection::fail() {
+void HttpClientConnection::fail(ConnectionFailure failure) {
+  failure_ = failure;
   close();
   observer_.onBroken(*this);
 }
@@ -79,7 +80,7 @@
   socklen_t size = sizeof error;
   ::getsockopt(socket_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0 || (events & EPOLLERR) != 0) {
-    fail();
+    fail(ConnectionFailure::connectFailed);
     return false;
   }
   if ((events & EPOLLOUT) == 0) return false;
@@ -92,7 +93,7 @@
   // A server may respond, or close, before it has read the whole request, so its response is read before the
   // connection counts as broken.
   read(StreamEnd::possible);
-  if (socket_.isOpen() && isBusy_) fail();
+  if (socket_.isOpen() && isBusy_) fail(ConnectionFailure::endedByPeer);
 }
 
 void HttpClientConnection::read(StreamEnd streamEnd) {
@@ -105,13 +106,14 @@
     observer_.onResponseStarted(*this);
     return;
   }
-  if (progress != HttpResponseParser::Progress::complete) return fail();
-  finishExchange(result);
+  if (progress == HttpResponseParser::Progress::complete) return finishExchange(result);
+  fail(isEnded(result) ? ConnectionFailure::endedByPeer : ConnectionFailure::malformedResponse);
 }
 
 // An idle connection that ends, or on which bytes arrive, cannot be used again.
 void HttpClientConnection::readIdle(ReadResult result) {
-  if (result != ReadResult::wouldBlock || !received_.empty()) fail();
+  if (!unexpectedBytes().empty()) return fail(ConnectionFailure::unexpectedBytes);
+  if (result != ReadResult::wouldBlock) fail(ConnectionFailure::endedByPeer);
 }
 
 HttpResponseParser::Progress HttpClientConnection::parseReceived(ReadResult result) {
@@ -129,9 +131,10 @@
 
 void HttpClientConnection::finishExchange(ReadResult result) {
   // Stays open for another exchange only if no bytes are left to read and the whole request was sent.
-  bool hasExtraBytes = received_.size() > parser_.length() || result == ReadResult::more;
+  bool hasExtraBytes = !unexpectedBytes().empty() || result == ReadResult::more;
   if (isEnded(result) || !parser_.keepsAlive() || hasExtraBytes || !unsent_.empty()) close();
   isBusy_ = false;
+  ++exchangeCount_;
   observer_.onResponse(*this);
 }
 
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -14,6 +15,15 @@
 
 namespace stonewing {
 
+// Why a connection broke.
+enum class ConnectionFailure {
+  none,
+  connectFailed,
+  endedByPeer,        // the server closed or reset it
+  unexpectedBytes,    // bytes arrived that belong to no request
+  malformedResponse,  // not HTTP, or over a limit
+};
+
 // A connection to an HTTP server. It carries one exchange (a request and its response) at a time and can be
 // used again after it. Used on the event loop's thread alone; the owner identifies a connection by the
 // address of this object.
@@ -71,6 +81,15 @@
   // Whether an idle connection can be used again: it has not ended, and no unexpected bytes have arrived.
   bool isReusable() const;
 
+  // Why the connection broke; none before onBroken.
+  ConnectionFailure failure() const { return failure_; }
+  // The number of complete responses so far.
+  int exchangeCount() const { return exchangeCount_; }
+  // Bytes after the end of the last response, which belong to no request; valid until the next exchange.
+  std::string_view unexpectedBytes() const {
+    return std::string_view(received_).substr(std::min(parser_.length(), received_.size()));
+  }
+
   bool isOpen() const { return socket_.isOpen(); }
   bool isConnected() const { return isConnected_; }
   // An exchange is in progress.
@@ -94,7 +113,7 @@
   void readIdle(ReadResult result);
   HttpResponseParser::Progress parseReceived(ReadResult result);
   void finishExchange(ReadResult result);
-  void fail();
+  void fail(ConnectionFailure failure);
 
   EventLoop& loop_;
   Observer& observer_;
@@ -103,6 +122,8 @@
   bool isConnected_{false};
   bool isBusy_{false};
   bool isOutOfResources_{false};
+  ConnectionFailure failure_{ConnectionFailure::none};
+  int exchangeCount_{0};
   std::string received_;
   WriteBuffer unsent_;
   HttpResponseParser parser_;
--- a/src/policy/attempt_outcome.h
+++ b/src/policy/attempt_outcome.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 namespace stonewing {
 
 // How an attempt or a health check ended.
@@ -16,6 +18,9 @@
   localResourceExhausted  // never sent: this host lacked a resource, such as a file descriptor
 };
 
+inline constexpr std::size_t kAttemptOutcomeCount =
+    static_cast<std::size_t>(AttemptOutcome::localResourceExhausted) + 1;
+
 // Whether the attempt provably never left this host.
 constexpr bool isUnsent(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::notSent || outcome == AttemptOutcome::localResourceExhausted;
