--- a/src/lab/emulated_servers.h
+++ b/src/lab/emulated_servers.h
@@ -22,7 +22,8 @@
  public:
   // All arguments must outlive the servers. Throws std::system_error if an address cannot be bound.
   EmulatedServers(EventLoop& loop, TimerQueue& timers, const ExperimentClock& clock,
-                  const Experiment& experiment, EndpointModel& endpointModel, Trace& trace);
+                  const Experiment& experiment, std::uint64_t seed, EndpointModel& endpointModel,
+                  Trace& trace);
   ~EmulatedServers() override;
 
   // Where the dispatcher reaches discovery and the platform, as host:port.
@@ -94,6 +95,7 @@
   const Experiment& experiment_;
   EndpointModel& endpointModel_;
   Trace& trace_;
+  Wire wire_;
   std::map<const HttpServer*, ServerLocation> locations_;
   std::vector<std::vector<std::unique_ptr<HttpServer>>> endpointServers_;  // by endpoint, then dispatcher
   std::vector<std::unique_ptr<HttpServer>> platformServers_;               // by dispatcher
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -107,8 +107,19 @@
   networkPartition,       // traffic between the dispatchers and the endpoints is dropped, in both directions
   diskFull,               // the dispatcher's files cannot grow
   diskHang,               // the dispatcher's writes to its journal block until the end
+  // A machine between servers and dispatchers alters a share `factor` of the responses; on sockets alone.
+  repeatedResponse,    // writes a response again: `times` times, the first `part` of it, after a delay
+  earlyResponse,       // writes the connection's previous response when the next request arrives
+  trailingBytes,       // writes bytes behind a response, after a delay
+  interimResponse,     // writes interim responses (1xx) before a response
+  splitResponse,       // writes a response byte by byte
+  delayedResponse,     // holds a response back for the delay
+  closeAfterResponse,  // closes the connection after a response that promised to keep it open
 };
 
+// Whose responses a machine between servers and dispatchers alters.
+enum class ResponseSource { endpoint, discovery, platform };
+
 // A fault, and the endpoints and dispatchers that it affects. It affects all endpoints if it names no zone,
 // destination or endpoint.
 struct Fault {
@@ -121,6 +132,12 @@
   std::vector<int> dispatchers{};   // for a fault of dispatchers; empty: the first dispatcher
   double share{1};                  // the first of the named endpoints, up to this share, are affected
   double factor{1};                 // as the kind says
+  // For the faults of responses.
+  ResponseSource source{ResponseSource::endpoint};
+  Millis delayFrom{0};  // the delay is drawn between the two
+  Millis delayTo{0};
+  int times{1};
+  double part{1};  // share of a response's bytes
 };
 
 struct FleetSettings {
--- a/src/lab/trace.cpp
+++ b/src/lab/trace.cpp
@@ -29,7 +29,8 @@
                                      "out",
                                      "back",
                                      "fell",
-                                     "room-fell"};
+                                     "room-fell",
+                                     "answer-altered"};
 
 std::ofstream openForWriting(const std::string& path) {
   std::ofstream out(path, std::ios::binary);
--- a/src/lab/trace.h
+++ b/src/lab/trace.h
@@ -30,6 +30,7 @@
   destinationUp,          // a destination recovered; message: its number
   destinationOverloaded,  // a destination failed from overload during slow start; message: its number
   zoneOverloaded,         // a zone failed from overload during slow start; message: its number
+  responseAltered,        // a fault altered a response; status: a FaultKind, request: the server's connection
 };
 
 struct TraceEvent {
