Notifications: a connection to the platform carries one request

Cause: OutcomeNotifier reused its connection and matched responses by order alone. Fix: a new connection for each request, at most one request in 5 ms, so that all that ended meanwhile shares it. On a connection's first exchange no earlier response can be repeated. Result: OutcomeNotifier.ARepeatedConfirmationConfirmsNoOtherNotification and SpacesItsConnections fail with the code before (0 of 1 notifications left; 2,627 requests in 100 ms) and pass now.

--- a/src/delivery/outcome_notifier.cpp
+++ b/src/delivery/outcome_notifier.cpp
@@ -23,6 +23,8 @@
 // increases, so that a platform that is down is not flooded.
 constexpr Millis kInitialBackoffMs = 25;
 constexpr Millis kMaxBackoffMs = 400;
+// Between two requests. Each needs a connection, and all that ended meanwhile shares the next one.
+constexpr Millis kRequestIntervalMs = 5;
 
 constexpr int kNoContent = 204;  // response by which the platform confirms all notifications of the request
 
@@ -59,9 +61,9 @@
   notBefore_ = loop_.now();
 }
 
-// Returns false if no connection could be opened.
-bool OutcomeNotifier::ensureConnection() {
-  if (connection_ && connection_->isOpen() && connection_->isReusable()) return true;
+// A connection carries one request: on a kept one, a repeated response would confirm the notifications of the
+// next request. Returns false if no connection could be opened.
+bool OutcomeNotifier::openConnection() {
   HttpClientConnection::closeLater(loop_, connection_);
   connection_ = std::make_unique<HttpClientConnection>(loop_, *this, kMaxResponseBytes);
   return connection_->open(platform_);
@@ -86,13 +88,14 @@
 }
 
 void OutcomeNotifier::send() {
-  if (!ensureConnection()) return scheduleRetry();
+  if (!openConnection()) return scheduleRetry();
   std::string body = composeBody();
   connection_->add("POST /reports HTTP/1.1\r\nHost: " + host_ + "\r\nContent-Type: application/x-ndjson\r\n" +
                    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n");
   connection_->add(std::move(body));
   connection_->startExchange();
   sentAt_ = loop_.now();
+  notBefore_ = loop_.now() + kRequestIntervalMs;
 }
 
 void OutcomeNotifier::confirmSent() {
@@ -108,6 +111,7 @@
 }
 
 void OutcomeNotifier::onResponse(HttpClientConnection& connection) {
+  connection.close();
   if (connection.status() == kNoContent) return confirmSent();
   log::warn("notification.rejected",
             {{"status", connection.status()}, {"notifications", awaitingConfirmation_.size()}});
--- a/src/delivery/outcome_notifier.h
+++ b/src/delivery/outcome_notifier.h
@@ -37,7 +37,7 @@
   void onBroken(HttpClientConnection& connection) override;
 
   bool isAwaitingResponse() const { return !awaitingConfirmation_.empty(); }
-  bool ensureConnection();
+  bool openConnection();
   std::string composeBody();
   void send();
   void confirmSent();
