Discovery: a connection carries one poll

Cause: DiscoveryClient reused its connection and matched responses by order alone. Fix: a new connection for each poll. Result: DiscoveryClient.ARepeatedListReplacesNoNewerOne fails with the code before (the draining endpoint is ready again) and passes now.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -80,8 +80,9 @@
   }
 }
 
-bool DiscoveryClient::ensureConnection() {
-  if (connection_ && connection_->isOpen() && connection_->isReusable()) return true;
+// A connection carries one poll: on a kept one, a repeated response would count for the next poll, and an old
+// list would replace a new one. Returns false if no connection could be opened.
+bool DiscoveryClient::openConnection() {
   HttpClientConnection::closeLater(loop_, connection_);
   connection_ = std::make_unique<HttpClientConnection>(loop_, *this, kMaxResponseBytes);
   return connection_->open(address_);
@@ -95,7 +96,7 @@
 }
 
 void DiscoveryClient::poll() {
-  if (!ensureConnection()) return retryAfterFailure();
+  if (!openConnection()) return retryAfterFailure();
   connection_->add("GET " + pollTarget() + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n");
   connection_->startExchange();
   isPollPending_ = true;
@@ -109,6 +110,7 @@
 
 void DiscoveryClient::onResponse(HttpClientConnection& connection) {
   isPollPending_ = false;
+  connection.close();
   if (connection.status() == kStatusServiceUnavailable) {  // discovery is overloaded; version_ stays valid
     nextPollAt_ = loop_.now() + retrySchedule_.delayAfterRejection();
     log::info("discovery.rejected", {{"after_ms", nextPollAt_ - loop_.now()}, {"kept", directory_.count()}});
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -59,7 +59,7 @@
   void onResponse(HttpClientConnection& connection) override;
   void onBroken(HttpClientConnection& connection) override;
   void poll();
-  bool ensureConnection();
+  bool openConnection();
   std::string pollTarget() const;
   void applyResponse(const HttpClientConnection& connection);
   void retryAfterFailure();
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -115,6 +115,19 @@
   ::close(first);
 }
 
+// A list repeated on a kept connection would count for the next poll, and replace a newer list.
+TEST(DiscoveryClient, ARepeatedListReplacesNoNewerOne) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  int first = ::dup(harness.connection);
+  harness.respond(listResponse(6, "terminating"));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  sendBytes(first, listResponse(5, "in_service"));
+  for (int count = 0; count < 10; ++count) harness.turn();
+  EXPECT_FALSE(harness.isReady("s-1"));
+  ::close(first);
+}
+
 // The wait for a connection that is not established must not last as long as a whole watch.
 TEST(DiscoveryClient, PollsAgainWhenAConnectionIsNotEstablished) {
   DiscoveryHarness harness{0};
