--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -18,11 +18,6 @@
   return static_cast<EndpointConnection&>(httpConnection);  // the pool creates no other type
 }
 
-// Why a connection was closed at the end of its response.
-CloseCause causeAfterResponse(const EndpointConnection& connection) {
-  return connection.unexpectedBytes().empty() ? CloseCause::endedByResponse : CloseCause::unexpectedBytes;
-}
-
 }  // namespace
 
 AttemptSender::AttemptSender(EventLoop& loop, DispatchPolicy& policy, MessageStore& store,
@@ -35,6 +30,7 @@
       mayHedge_(settings.mayHedge),
       log_(discovery),
       recorder_(loop, policy, store, names, log_),
+      confirmer_(loop, policy, store, recorder_, log_),
       pool_(loop, *this, policy, settings, names, {maxConnections, maxHealthChecks}, log_) {}
 
 void AttemptSender::sendAttempt(const SendAttempt& decision) {
@@ -52,7 +48,8 @@
 }
 
 void AttemptSender::recordBatch(Batch batch) {
-  EndpointConnection& connection = pool_.acquire(batch.endpoint, discovery_.find(batch.endpoint));
+  EndpointConnection& connection =
+      pool_.acquire(batch.endpoint, discovery_.find(batch.endpoint), ConnectionPool::Reuse::nowOrSoon);
   // Endpoints store a batch under the id of its first message. If that message finished while the request
   // waited at the endpoint, the other messages counted as never delivered, although the response reported ok
   // for each of them. So the message with the latest time-out, which finishes last, is the first of the
@@ -98,7 +95,9 @@
     }
   }
   if (!connection.hasFailedToStart()) {
+    if (connection.isWaitingForQuiet(loop_.now())) return pool_.update(connection);
     if (!isStillSendable(connection)) {
+      if (connection.isConnected()) handleUnreadBytes(connection);
       return finishAllAndRelease(connection, AttemptOutcome::notSent, CloseCause::notSent);
     }
     recordDelayedSend(connection);
@@ -153,7 +152,7 @@
     return policy_.recordHealthCheckOutcome(endpoint, AttemptOutcome::localResourceExhausted, {});
   }
   const DiscoveredEndpoint* target = discovery_.find(endpoint);
-  EndpointConnection& connection = pool_.acquire(endpoint, target);
+  EndpointConnection& connection = pool_.acquire(endpoint, target, ConnectionPool::Reuse::now);
   pool_.beginHealthCheck(connection);
   connection.setSentAt(loop_.now());
   if (!connection.hasFailedToStart()) {
@@ -170,7 +169,8 @@
 void AttemptSender::cancelAttempt(const CancelAttempt& decision) {
   std::pair key{decision.message, decision.attempt};
   auto found = connectionOfAttempt_.find(key);
-  if (found == connectionOfAttempt_.end()) return;
+  if (found == connectionOfAttempt_.end())
+    return confirmer_.cancelDeferred(decision.message, decision.attempt);
   // If the loop is behind, the attempt's response may be in the socket's buffer, not yet read. If the
   // connection were closed with the response unread, the message would be attempted again after its delivery.
   found->second->readPending();
@@ -283,29 +283,72 @@
 void AttemptSender::onResponse(HttpClientConnection& httpConnection) {
   EndpointConnection& connection = endpointConnection(httpConnection);
   pool_.recordUse(connection);
+  bool isOutOfStep = !connection.unexpectedBytes().empty() || namesNoMessage(connection);
   if (connection.isHealthCheck()) {
     finishHealthCheck(connection, healthCheckOutcome(connection.status()),
                       recorder_.loadReportOf(connection));
   } else {
-    if (isRequestUnreadable(connection.status())) log_.requestUnreadable(connection);
-    std::vector<AttemptResult> results = readAttemptResults(connection);
-    for (std::size_t i = 0; i < results.size(); ++i) {
-      finishAttempt(connection, connection.attempts()[i], results[i]);
-    }
+    recordResponse(connection, isOutOfStep);
+    connection.setConfirmedAt(confirmer_.confirmedAt(connection));
   }
+  if (isOutOfStep) handleUnexpectedBytes(connection, connection.unexpectedBytes());
   connection.clearRequest();
-  if (!connection.isOpen()) return release(connection, causeAfterResponse(connection));
+  if (isOutOfStep) return release(connection, CloseCause::unexpectedBytes);
+  if (!connection.isOpen()) return release(connection, CloseCause::endedByResponse);
+  if (!policy_.quietBeforeReuse(connection.endpoint())) {
+    return pool_.closeIdleConnection(connection, CloseCause::notTrusted);
+  }
   pool_.update(connection);
 }
 
+// The first response on a connection can only belong to its request. Any later one may be the repeat of an
+// earlier response. One that shows the connection to be out of step proves nothing.
+void AttemptSender::recordResponse(EndpointConnection& connection, bool isOutOfStep) {
+  if (isRequestUnreadable(connection.status())) log_.requestUnreadable(connection);
+  bool isFirst = connection.exchangeCount() == 1;
+  std::vector<AttemptResult> results = readAttemptResults(connection);
+  auto proof = isFirst ? ResponseConfirmer::Proof::certain : ResponseConfirmer::Proof::byOrderAlone;
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    BatchedAttempt& attempt = connection.attempts()[i];
+    if (isOutOfStep && !isFirst) {
+      finishAttempt(connection, attempt, unattributed(results[i]));
+      continue;
+    }
+    finishAttempt(connection, attempt, results[i], proof);
+  }
+}
+
+// The bytes may be the repeat of an earlier response, or the true response to a request for which a repeat
+// was taken. So what they ask for is heeded, and what was concluded from the connection just before is taken
+// back.
+void AttemptSender::handleUnexpectedBytes(const EndpointConnection& connection, std::string_view bytes) {
+  log_.unexpectedBytes(connection, bytes, loop_.now());
+  policy_.recordUnexpectedBytes(connection.endpoint());
+  if (Millis retryAfter = retryAfterOf(bytes); retryAfter > 0) {
+    policy_.recordRetryAfter(connection.endpoint(), retryAfter);
+  }
+  confirmer_.contradict(connection);
+}
+
+// Handles a connection that was chosen for a request and on which bytes have arrived, or which has ended.
+void AttemptSender::handleUnreadBytes(EndpointConnection& connection) {
+  std::string unread = connection.readUnread();
+  if (!unread.empty()) handleUnexpectedBytes(connection, unread);
+}
+
 // A missing resource of this process (a descriptor, space in the journal) is not a failure of the endpoint.
 // If it counted as one, a full disk, or clients that use up all descriptors, would make every destination
 // look down, and slow start would follow.
 void AttemptSender::onBroken(HttpClientConnection& httpConnection) {
   EndpointConnection& connection = endpointConnection(httpConnection);
+  if (connection.failure() == ConnectionFailure::unexpectedBytes) {
+    handleUnexpectedBytes(connection, connection.unexpectedBytes());
+  }
   AttemptOutcome outcome = AttemptOutcome::localResourceExhausted;
   if (connection.startFailure() == EndpointConnection::StartFailure::localResources) {
     log_.attemptResourceExhausted(connection);
+  } else if (connection.hasUnsentAttempts()) {
+    outcome = AttemptOutcome::notSent;
   } else {
     outcome = outcomeWithoutResponse(connection, AttemptOutcome::reset);
   }
@@ -325,6 +368,7 @@
 
 void AttemptSender::onTick() {
   log_.logCounters(loop_.now());
+  confirmer_.onTick();
   pool_.followReusableIdleTime();
   while (EndpointConnection* connection = pool_.firstDue()) handleDue(*connection);
 }
@@ -340,8 +384,12 @@
       connection.isBusy() && connection.responseDueAt() && loop_.now() >= *connection.responseDueAt();
   bool isConnectOverdue = loop_.now() >= pool_.connectDeadline(connection);
   if (connection.hasFailedToStart() || isResponseOverdue || isConnectOverdue) return onBroken(connection);
+  if (connection.hasUnsentAttempts()) return sendBatch(connection);
   if (!connection.isBusy()) {
-    if (loop_.now() >= pool_.idleDeadline(connection)) return release(connection, CloseCause::idleTooLong);
+    if (auto cause = connection.retirementCause()) return pool_.closeIdleConnection(connection, *cause);
+    if (loop_.now() >= pool_.idleDeadline(connection)) {
+      return pool_.closeIdleConnection(connection, CloseCause::idleTooLong);
+    }
     return pool_.update(connection);
   }
   if (connection.isHealthCheck() && loop_.now() >= pool_.healthCheckDeadline(connection)) {
@@ -370,9 +418,9 @@
 }
 
 void AttemptSender::finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt,
-                                  const AttemptResult& result) {
+                                  const AttemptResult& result, ResponseConfirmer::Proof proof) {
   connectionOfAttempt_.erase({attempt.message, attempt.attempt});
-  recorder_.record(connection, attempt, result);
+  confirmer_.record(connection, attempt, result, proof);
 }
 
 void AttemptSender::finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome,
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <string_view>
@@ -11,6 +12,7 @@
 #include "delivery/endpoint_connection.h"
 #include "delivery/load_report.h"
 #include "delivery/outcome_recorder.h"
+#include "delivery/response_confirmer.h"
 #include "delivery/response_reader.h"
 #include "discovery/discovery_client.h"
 #include "net/http_client_connection.h"
@@ -60,9 +62,9 @@
   // Handles time-outs, and connections that cannot be established.
   void onTick();
   // When onTick() is to be called next.
-  Millis due() const { return pool_.nextDueAt(); }
-  // Whether no connection carries an attempt.
-  bool idle() const { return !pool_.hasAttempts(); }
+  Millis due() const { return std::min(pool_.nextDueAt(), confirmer_.due().value_or(kNever)); }
+  // Whether no connection carries an attempt, and no response is to be confirmed.
+  bool idle() const { return !pool_.hasAttempts() && confirmer_.idle(); }
 
  private:
   struct Batch {
@@ -88,10 +90,15 @@
   void cancelOnConnection(EndpointConnection& connection, BatchedAttempt& attempt);
   void finishUselessAttempts(EndpointConnection& connection);
 
+  void recordResponse(EndpointConnection& connection, bool isOutOfStep);
+  void handleUnexpectedBytes(const EndpointConnection& connection, std::string_view bytes);
+  void handleUnreadBytes(EndpointConnection& connection);
+
   void handleDue(EndpointConnection& connection);
   void timeOutAttempts(EndpointConnection& connection);
 
-  void finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result);
+  void finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result,
+                     ResponseConfirmer::Proof proof = ResponseConfirmer::Proof::certain);
   void finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome, CloseCause cause);
   void finishHealthCheck(EndpointConnection& connection, AttemptOutcome outcome, LoadReport report = {});
   CloseCause causeOfBreak(const EndpointConnection& connection) const;
@@ -104,6 +111,7 @@
   bool mayHedge_;
   DeliveryLog log_;
   OutcomeRecorder recorder_;
+  ResponseConfirmer confirmer_;
   ConnectionPool pool_;
   // The pointers in the next two members refer to connections of the pool; release() removes them.
   // The connection of each attempt whose outcome was not recorded yet.
--- a/src/delivery/close_cause.cpp
+++ b/src/delivery/close_cause.cpp
@@ -28,6 +28,8 @@
       return "idle_too_long";
     case CloseCause::replaced:
       return "replaced";
+    case CloseCause::notTrusted:
+      return "not_trusted";
     case CloseCause::requestedByPolicy:
       return "requested_by_policy";
     case CloseCause::notReusable:
--- a/src/delivery/close_cause.h
+++ b/src/delivery/close_cause.h
@@ -20,6 +20,7 @@
   localResources,      // this process lacked a descriptor, journal space or the endpoint's address
   idleTooLong,         // idle for as long as a connection may be
   replaced,            // idle, and closed for a new connection within the limit of connections
+  notTrusted,          // the endpoint's connections carry one request each, for a time
   requestedByPolicy,   // idle, and the policy decided to close it
   notReusable,         // idle, and ended or moved to another address before its next request
 };
--- a/src/delivery/connection_pool.cpp
+++ b/src/delivery/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "delivery/connection_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 #include <iterator>
 #include <utility>
@@ -13,9 +14,8 @@
 // up all memory.
 constexpr std::size_t kMaxResponseBytes = std::size_t{128} * 1024;
 
-// Before and after all times. They allow a search in an index by endpoint only.
+// Before all times. It allows a search in an index by endpoint only.
 constexpr Millis kBeforeAllTimes = -1e300;
-constexpr Millis kAfterAllTimes = 1e300;
 
 }  // namespace
 
@@ -43,11 +43,29 @@
   return maxIdleTime_ < kNever ? std::min(maxIdleTime_, policy_.state().reusableIdleTime) : maxIdleTime_;
 }
 
-EndpointConnection* ConnectionPool::lastUsedIdle(EndpointId endpoint) const {
-  auto next = idleByEndpoint_.lower_bound({endpoint, kAfterAllTimes, nullptr});
-  if (next == idleByEndpoint_.begin()) return nullptr;
-  const IdleConnection& last = *std::prev(next);
-  return last.endpoint == endpoint ? last.connection : nullptr;
+EndpointConnection* ConnectionPool::reusableConnection(EndpointId endpoint, Reuse reuse) {
+  std::optional<Millis> quietTime = policy_.quietBeforeReuse(endpoint);
+  if (!quietTime) return nullptr;
+  Millis lastUsedUntil = loop_.now() - *quietTime;
+  // The first one that was used too late.
+  auto next = idleByEndpoint_.lower_bound({endpoint, std::nextafter(lastUsedUntil, kNever), nullptr});
+  const IdleConnection* found = next == idleByEndpoint_.begin() ? nullptr : &*std::prev(next);
+  bool isQuiet = found != nullptr && found->endpoint == endpoint;
+  if (!isQuiet) {
+    bool isSoon = next != idleByEndpoint_.end() && next->endpoint == endpoint;
+    if (reuse == Reuse::now || !isSoon || !mayWait(endpoint)) return nullptr;
+    found = &*next;
+    waitingUntil_[endpoint] = found->lastUsedAt + *quietTime;
+  }
+  found->connection->reusableAt_ = found->lastUsedAt + *quietTime;
+  return found->connection;
+}
+
+// One request at a time waits for a connection to an endpoint. If all did, the rate at the endpoint would be
+// limited by the quiet time and the number of its connections.
+bool ConnectionPool::mayWait(EndpointId endpoint) {
+  std::erase_if(waitingUntil_, [this](const auto& entry) { return loop_.now() >= entry.second; });
+  return !waitingUntil_.contains(endpoint);
 }
 
 bool ConnectionPool::canReuse(const EndpointConnection& connection, const DiscoveredEndpoint* target) const {
@@ -56,8 +74,9 @@
   return loop_.now() < idleDeadline(connection) && !hasMoved && connection.isReusable();
 }
 
-EndpointConnection& ConnectionPool::acquire(EndpointId endpoint, const DiscoveredEndpoint* target) {
-  if (EndpointConnection* idle = lastUsedIdle(endpoint); idle != nullptr) {
+EndpointConnection& ConnectionPool::acquire(EndpointId endpoint, const DiscoveredEndpoint* target,
+                                            Reuse reuse) {
+  if (EndpointConnection* idle = reusableConnection(endpoint, reuse); idle != nullptr) {
     if (canReuse(*idle, target)) {
       removeFromIndexes(*idle);
       return *idle;
@@ -65,7 +84,7 @@
     closeIdle(endpoint, CloseCause::notReusable);
   }
   if (connections_.size() >= limits_.maxConnections && !leastRecentlyUsed_.empty()) {
-    release(*leastRecentlyUsed_.begin()->connection, CloseCause::replaced);
+    closeIdleConnection(*leastRecentlyUsed_.begin()->connection, CloseCause::replaced);
   }
   return open(endpoint, target);
 }
@@ -103,10 +122,22 @@
   for (;;) {
     auto first = idleByEndpoint_.lower_bound({endpoint, kBeforeAllTimes, nullptr});
     if (first == idleByEndpoint_.end() || first->endpoint != endpoint) return;
-    release(*first->connection, cause);
+    closeIdleConnection(*first->connection, cause);
   }
 }
 
+// Unread bytes show that the connection is out of step. If there are some, the observer is notified, and
+// releases the connection. A connection with unconfirmed responses stays open, and unused, until they are
+// confirmed: if it were closed, nothing could contradict them.
+void ConnectionPool::closeIdleConnection(EndpointConnection& connection, CloseCause cause) {
+  connection.checkIdle();
+  if (!connection.isOpen()) return;
+  bool isUnconfirmed = loop_.now() < connection.confirmedAt();
+  if (!isUnconfirmed || cause == CloseCause::replaced) return release(connection, cause);
+  connection.retirementCause_ = cause;
+  update(connection);
+}
+
 void ConnectionPool::removeFromIndexes(EndpointConnection& connection) {
   dueTimes_.erase({connection.indexedDueAt_, &connection});
   if (!std::exchange(connection.isIndexedAsIdle_, false)) return;
@@ -118,7 +149,8 @@
   removeFromIndexes(connection);
   connection.indexedDueAt_ = dueAt(connection);
   dueTimes_.insert({connection.indexedDueAt_, &connection});
-  if (connection.isBusy() || connection.hasFailedToStart() || !connection.isConnected()) return;
+  bool isIdle = connection.isConnected() && !connection.isBusy() && !connection.hasUnsentAttempts();
+  if (!isIdle || connection.hasFailedToStart() || connection.retirementCause_) return;
   connection.isIndexedAsIdle_ = true;
   idleByEndpoint_.insert({connection.endpoint(), connection.lastUsedAt_, &connection});
   leastRecentlyUsed_.insert({connection.lastUsedAt_, &connection});
@@ -158,6 +190,8 @@
 
 Millis ConnectionPool::dueAt(const EndpointConnection& connection) const {
   if (connection.hasFailedToStart()) return 0;
+  if (connection.hasUnsentAttempts()) return connection.reusableAt();
+  if (connection.retirementCause_) return connection.confirmedAt();
   if (!connection.isBusy()) return idleDeadline(connection);
   Millis due = connectDeadline(connection);
   if (connection.isHealthCheck()) due = std::min(due, healthCheckDeadline(connection));
--- a/src/delivery/connection_pool.h
+++ b/src/delivery/connection_pool.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <list>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -30,7 +31,8 @@
 // - From update() on it is in `dueTimes_`, under the value of dueAt() at that call.
 // - If it was connected, not busy and had not failed at that call, it is in `idleByEndpoint_` and
 //   `leastRecentlyUsed_` too. Idle connections have no attempts and carry no health check, so the pool may
-//   close them without notifying the observer.
+//   close them; it notifies the observer only if bytes arrived that belong to no request, or the connection
+//   has ended.
 // If a value changes on which a due time depends, update() must be called before the next tick.
 //
 // References and pointers to a connection stay valid until release(). The event loop deletes the object at
@@ -45,13 +47,20 @@
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
 
-  // Returns a connection for the next request to an endpoint: the idle connection that was used last if it
-  // may be reused, otherwise a new one. `target` is the endpoint's entry in discovery, or nullptr. If the
-  // connection could not be opened, its startFailure() gives the reason; it stays in the pool until release()
-  // all the same.
-  EndpointConnection& acquire(EndpointId endpoint, const DiscoveredEndpoint* target);
+  // Which idle connections serve for a request: those that may be reused now, or also one that may be soon.
+  // A new connection costs the endpoint more than the request loses by the wait.
+  enum class Reuse { now, nowOrSoon };
+
+  // Returns a connection for the next request to an endpoint: the idle connection that was used last among
+  // those that may be reused, or else the one that may be reused soonest, otherwise a new one. The request
+  // must not begin before reusableAt(). `target` is the endpoint's entry in discovery, or nullptr.
+  // If the connection could not be opened, its startFailure() gives the reason; it stays in the pool until
+  // release() all the same.
+  EndpointConnection& acquire(EndpointId endpoint, const DiscoveredEndpoint* target, Reuse reuse);
   // Closes a connection and removes it from the pool; the object is deleted at the end of the turn.
   void release(EndpointConnection& connection, CloseCause cause);
+  // Releases an idle connection, after reading what has arrived on it, and once its responses are confirmed.
+  void closeIdleConnection(EndpointConnection& connection, CloseCause cause);
   // Releases all idle connections to an endpoint.
   void closeIdle(EndpointId endpoint, CloseCause cause);
 
@@ -104,7 +113,8 @@
   };
 
   Millis reusableIdleTime() const;
-  EndpointConnection* lastUsedIdle(EndpointId endpoint) const;
+  EndpointConnection* reusableConnection(EndpointId endpoint, Reuse reuse);
+  bool mayWait(EndpointId endpoint);
   bool canReuse(const EndpointConnection& connection, const DiscoveredEndpoint* target) const;
   EndpointConnection& open(EndpointId endpoint, const DiscoveredEndpoint* target);
   void removeFromIndexes(EndpointConnection& connection);
@@ -122,6 +132,8 @@
   std::list<std::unique_ptr<EndpointConnection>> connections_;
   std::set<TimedConnection> dueTimes_;
   std::set<IdleConnection> idleByEndpoint_;
+  // Until when a request waits for a kept connection to an endpoint; a time in the past means that none does.
+  std::map<EndpointId, Millis> waitingUntil_;
   std::set<TimedConnection> leastRecentlyUsed_;  // idle connections, ordered by their last use
 };
 
--- a/src/delivery/delivery_counters.h
+++ b/src/delivery/delivery_counters.h
@@ -15,6 +15,7 @@
   void countAttempt(AttemptOutcome outcome) { ++attempts_.at(static_cast<std::size_t>(outcome)); }
   void countClosed(CloseCause cause) { ++closed_.at(static_cast<std::size_t>(cause)); }
   void countOpened() { ++opened_; }
+  void countTakenBack() { ++takenBack_; }
 
   std::uint64_t attempts(AttemptOutcome outcome) const {
     return attempts_.at(static_cast<std::size_t>(outcome));
@@ -22,6 +23,8 @@
   std::uint64_t closed(CloseCause cause) const { return closed_.at(static_cast<std::size_t>(cause)); }
   // Connections that were opened.
   std::uint64_t opened() const { return opened_; }
+  // Outcomes that were taken back, since their response belonged to another request.
+  std::uint64_t takenBack() const { return takenBack_; }
 
   bool operator==(const DeliveryCounters&) const = default;
 
@@ -29,6 +32,7 @@
   std::array<std::uint64_t, kAttemptOutcomeCount> attempts_{};
   std::array<std::uint64_t, kCloseCauseCount> closed_{};
   std::uint64_t opened_{0};
+  std::uint64_t takenBack_{0};
 };
 
 }  // namespace stonewing
--- a/src/delivery/delivery_log.cpp
+++ b/src/delivery/delivery_log.cpp
@@ -1,5 +1,8 @@
 #include "delivery/delivery_log.h"
 
+#include <algorithm>
+#include <string>
+
 #include "logging/log.h"
 
 namespace stonewing {
@@ -9,6 +12,14 @@
 constexpr double kLinesPerSecond = 10;
 constexpr double kLineBurst = 100;
 constexpr Millis kCountersIntervalMs = 10'000;
+constexpr std::size_t kLoggedBytes = 40;
+
+std::string printable(std::string_view bytes) {
+  std::string text(bytes);
+  std::replace_if(
+      text.begin(), text.end(), [](unsigned char c) { return c < ' ' || c > '~'; }, '.');
+  return text;
+}
 
 const char* outcomeName(AttemptOutcome outcome) {
   switch (outcome) {
@@ -24,6 +35,8 @@
       return "connect_failed";
     case AttemptOutcome::reset:
       return "reset";
+    case AttemptOutcome::unattributed:
+      return "unattributed";
     case AttemptOutcome::cancelled:
       return "cancelled";
     case AttemptOutcome::notSent:
@@ -39,7 +52,8 @@
 DeliveryLog::DeliveryLog(const DiscoveryClient& discovery)
     : discovery_(discovery),
       attemptLines_(kLinesPerSecond, kLineBurst),
-      connectionLines_(kLinesPerSecond, kLineBurst) {}
+      connectionLines_(kLinesPerSecond, kLineBurst),
+      unexpectedBytesLines_(kLinesPerSecond, kLineBurst) {}
 
 bool DeliveryLog::mayLog(log::RateLimit& limit, Millis now) const {
   return log::isEnabled(log::Level::debug) || (log::isEnabled(log::Level::info) && limit.allow(now));
@@ -71,25 +85,47 @@
   log::debug("attempt.cancel_deferred", {{"message", attempt.reference}, {"attempt", attempt.attempt}});
 }
 
-void DeliveryLog::attemptFinished(const EndpointConnection& connection, const BatchedAttempt& attempt,
-                                  const AttemptResult& result, const LoadReport& report, Millis now) {
-  counters_.countAttempt(result.outcome);
+void DeliveryLog::attemptFinished(const AttemptEnd& end, Millis now) {
+  counters_.countAttempt(end.result.outcome);
   if (!mayLog(attemptLines_, now)) return;
   log::event(log::Level::info, "attempt.finished",
-             {{"message", attempt.reference},
-              {"attempt", attempt.attempt},
-              {"endpoint", nameOf(connection.endpoint())},
-              {"outcome", outcomeName(result.outcome)},
-              {"spent_ms", now - connection.sentAt()},
-              {"retry_after_ms", result.retryAfter},
-              {"rate_limit", report.rateLimit},
-              {"remaining", report.remainingShare},
-              {"connection", connection.number()},
-              {"exchange", connection.exchangeCount()},
-              {"status", connection.status()},
+             {{"message", end.reference},
+              {"attempt", end.attempt},
+              {"endpoint", nameOf(end.endpoint)},
+              {"outcome", outcomeName(end.result.outcome)},
+              {"spent_ms", end.endedAt - end.sentAt},
+              {"retry_after_ms", end.result.retryAfter},
+              {"rate_limit", end.report.rateLimit},
+              {"remaining", end.report.remainingShare},
+              {"connection", end.connection},
+              {"exchange", end.exchange},
+              {"status", end.status},
               {"suppressed", attemptLines_.takeSuppressed()}});
 }
 
+void DeliveryLog::responseTakenBack(const AttemptEnd& end) {
+  counters_.countTakenBack();
+  log::warn("response.taken_back", {{"message", end.reference},
+                                    {"attempt", end.attempt},
+                                    {"endpoint", nameOf(end.endpoint)},
+                                    {"connection", end.connection},
+                                    {"exchange", end.exchange},
+                                    {"status", end.status}});
+}
+
+void DeliveryLog::unexpectedBytes(const EndpointConnection& connection, std::string_view bytes, Millis now) {
+  if (!log::isEnabled(log::Level::warn) || !unexpectedBytesLines_.allow(now)) return;
+  log::event(log::Level::warn, "connection.unexpected_bytes",
+             {{"connection", connection.number()},
+              {"endpoint", nameOf(connection.endpoint())},
+              {"bytes", bytes.size()},
+              {"begin", printable(bytes.substr(0, kLoggedBytes))},
+              {"exchanges", connection.exchangeCount()},
+              {"last_status", connection.status()},
+              {"since_response_ms", now - connection.lastUsedAt()},
+              {"suppressed", unexpectedBytesLines_.takeSuppressed()}});
+}
+
 void DeliveryLog::attemptResourceExhausted(const EndpointConnection& connection) const {
   log::warn(
       "attempt.resource_exhausted",
@@ -129,6 +165,8 @@
              {"timeout", counters_.attempts(AttemptOutcome::timeout)},
              {"connect_failed", counters_.attempts(AttemptOutcome::connectFailed)},
              {"reset", counters_.attempts(AttemptOutcome::reset)},
+             {"unattributed", counters_.attempts(AttemptOutcome::unattributed)},
+             {"taken_back", counters_.takenBack()},
              {"cancelled", counters_.attempts(AttemptOutcome::cancelled)},
              {"not_sent", counters_.attempts(AttemptOutcome::notSent)},
              {"connections", counters_.opened()},
--- a/src/delivery/delivery_log.h
+++ b/src/delivery/delivery_log.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string_view>
 
+#include "delivery/attempt_end.h"
 #include "delivery/close_cause.h"
 #include "delivery/delivery_counters.h"
 #include "delivery/endpoint_connection.h"
@@ -29,11 +30,14 @@
   void attemptSent(const EndpointConnection& connection, const BatchedAttempt& attempt, Millis now) const;
   void attemptWritten(const EndpointConnection& connection, const BatchedAttempt& attempt) const;
   void attemptCancelDeferred(const BatchedAttempt& attempt) const;
-  void attemptFinished(const EndpointConnection& connection, const BatchedAttempt& attempt,
-                       const AttemptResult& result, const LoadReport& report, Millis now);
+  void attemptFinished(const AttemptEnd& end, Millis now);
+  // The outcome of an attempt by a response that belonged to another request no longer holds.
+  void responseTakenBack(const AttemptEnd& end);
   void attemptResourceExhausted(const EndpointConnection& connection) const;
   void requestUnreadable(const EndpointConnection& connection) const;
   void connectionClosed(const EndpointConnection& connection, CloseCause cause, Millis now);
+  // Bytes that belong to no request arrived on a connection.
+  void unexpectedBytes(const EndpointConnection& connection, std::string_view bytes, Millis now);
 
   // Counts a connection that was opened.
   void countOpened() { counters_.countOpened(); }
@@ -53,6 +57,7 @@
   Millis countersDueAt_{0};
   log::RateLimit attemptLines_;
   log::RateLimit connectionLines_;
+  log::RateLimit unexpectedBytesLines_;
 };
 
 }  // namespace stonewing
--- a/src/delivery/endpoint_connection.h
+++ b/src/delivery/endpoint_connection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "delivery/close_cause.h"
 #include "net/http_client_connection.h"
 
 namespace stonewing {
@@ -66,6 +67,20 @@
                                              [](const BatchedAttempt& each) { return each.isFinished(); });
   }
 
+  // Whether it is connected and carries attempts whose request has not begun: it waits for the journal, or
+  // for the time from which the connection may be reused.
+  bool hasUnsentAttempts() const { return isConnected() && !isBusy() && !attempts_.empty(); }
+  // Whether the connection is kept, and may not be reused yet.
+  bool isWaitingForQuiet(Millis now) const { return isConnected() && now < reusableAt_; }
+  // From when on a kept connection may carry the next request.
+  Millis reusableAt() const { return reusableAt_; }
+
+  // When the last response on the connection is confirmed; 0 if none is unconfirmed.
+  Millis confirmedAt() const { return confirmedAt_; }
+  void setConfirmedAt(Millis at) { confirmedAt_ = at; }
+  // Why the connection is closed as soon as its responses are confirmed; no value if it is not to be closed.
+  std::optional<CloseCause> retirementCause() const { return retirementCause_; }
+
   // A connection with a start failure is due immediately, and is then reported as broken.
   StartFailure startFailure() const { return startFailure_; }
   bool hasFailedToStart() const { return startFailure_ != StartFailure::none; }
@@ -98,6 +113,7 @@
   std::vector<BatchedAttempt> attempts_;
   StartFailure startFailure_{StartFailure::none};
   Millis sentAt_{0};
+  Millis confirmedAt_{0};
   std::optional<Millis> responseDueAt_;
 
   // Changed only by the pool.
@@ -105,7 +121,9 @@
   sockaddr_in address_{};
   bool isHealthCheck_{false};  // the pool counts the health checks in flight
   Millis lastUsedAt_{0};       // part of the key in the pool's two idle indexes
-  Millis indexedDueAt_{-1};    // the key in the pool's due times; -1 before the first update()
+  Millis reusableAt_{0};
+  std::optional<CloseCause> retirementCause_;
+  Millis indexedDueAt_{-1};  // the key in the pool's due times; -1 before the first update()
   bool isIndexedAsIdle_{false};
   // Position in the pool's list. List iterators stay valid while other elements are added and removed.
   std::list<std::unique_ptr<EndpointConnection>>::iterator position_{};
--- /dev/null
+++ b/src/delivery/response_confirmer.cpp
@@ -0,0 +1,120 @@
+#include "delivery/response_confirmer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stonewing {
+
+void ResponseConfirmer::record(const EndpointConnection& connection, BatchedAttempt& attempt,
+                               const AttemptResult& result, Proof proof) {
+  if (OutcomeRecorder::isFinal(result) && unconfirmed_.containsDelivery(attempt.message)) {
+    return recordFurtherDelivery(connection, attempt, result, proof);
+  }
+  ResponseDoubt doubt;
+  if (proof == Proof::byOrderAlone && !attempt.isFinished()) {
+    doubt = policy_.responseDoubt(attempt.message, attempt.attempt, result.outcome,
+                                  OutcomeRecorder::isFinal(result));
+  }
+  // There is no time to confirm a response at the deadline. A claim that the attempt was not executed then
+  // counts for nothing; of a delivery, the platform is notified too.
+  Millis deadline = recorder_.deadlineOf(attempt.message);
+  Millis confirmAt = std::min(loop_.now() + doubt.confirmAfter, deadline - OutcomeRecorder::kMaxReadDelayMs);
+  bool isDeferred = doubt.handling == ResponseHandling::deferUntilConfirmed;
+  if (doubt.handling == ResponseHandling::conclude || confirmAt <= loop_.now()) {
+    bool isVoid = isDeferred && !OutcomeRecorder::isFinal(result);
+    return recorder_.record(connection, attempt, isVoid ? unattributed(result) : result);
+  }
+
+  UnconfirmedResponse response{.end = recorder_.describe(connection, attempt, result),
+                               .handling = doubt.handling,
+                               .confirmAt = confirmAt,
+                               .deadline = deadline,
+                               .attempts = recorder_.attemptsOf(attempt.message)};
+  attempt.state = BatchedAttempt::State::finished;
+  if (isDeferred) {
+    policy_.recordRetryAfter(response.end.endpoint, result.retryAfter);
+  } else {
+    recorder_.recordInPolicy(response.end);
+  }
+  unconfirmed_.add(std::move(response));
+}
+
+// Another attempt delivered a message whose delivery is not confirmed yet.
+void ResponseConfirmer::recordFurtherDelivery(const EndpointConnection& connection, BatchedAttempt& attempt,
+                                              const AttemptResult& result, Proof proof) {
+  if (!attempt.isFinished()) {
+    attempt.state = BatchedAttempt::State::finished;
+    recorder_.recordInPolicy(recorder_.describe(connection, attempt, result));
+  }
+  if (proof != Proof::certain) return;
+  unconfirmed_.removeDelivery(attempt.message);
+  recorder_.recordFinalOutcome(attempt.message);
+}
+
+void ResponseConfirmer::contradict(const EndpointConnection& connection) {
+  for (UnconfirmedResponse& response : unconfirmed_.takeOf(connection.number())) {
+    contradicted_.push_back(std::move(response));
+  }
+}
+
+void ResponseConfirmer::cancelDeferred(MessageId message, int attempt) {
+  if (auto deferred = unconfirmed_.takeDeferred(message, attempt)) {
+    endDeferred(std::move(*deferred), AttemptOutcome::cancelled);
+  }
+}
+
+void ResponseConfirmer::onTick() {
+  std::erase_if(contradicted_, [this](const UnconfirmedResponse& each) { return takeBack(each); });
+  while (auto response = unconfirmed_.takeConfirmed(loop_.now())) confirm(*response);
+}
+
+std::optional<Millis> ResponseConfirmer::due() const {
+  if (!contradicted_.empty()) return loop_.now();
+  return unconfirmed_.nextConfirmAt();
+}
+
+void ResponseConfirmer::confirm(const UnconfirmedResponse& response) {
+  if (response.handling == ResponseHandling::deferUntilConfirmed) {
+    recorder_.record(response.end);
+  } else {
+    recorder_.recordFinalOutcome(response.end.message);
+  }
+}
+
+// Returns false if the message cannot be continued yet, since another attempt of it has not ended.
+bool ResponseConfirmer::takeBack(const UnconfirmedResponse& response) {
+  bool isDeferred = response.handling == ResponseHandling::deferUntilConfirmed;
+  if (!isDeferred && policy_.state().messages.contains(response.end.message)) return false;
+  log_.responseTakenBack(response.end);
+  if (isDeferred) {
+    endDeferred(response, AttemptOutcome::unattributed);
+  } else {
+    continueMessage(response);
+  }
+  return true;
+}
+
+void ResponseConfirmer::endDeferred(UnconfirmedResponse response, AttemptOutcome outcome) {
+  response.end.result = {outcome};
+  response.end.report = {};
+  recorder_.record(response.end);
+}
+
+// The message goes on as it would after a restart: each attempt that was not refused may have been executed.
+void ResponseConfirmer::continueMessage(const UnconfirmedResponse& response) {
+  MessageId id = response.end.message;
+  const StoredMessage* message = store_.find(id);
+  if (message == nullptr) return;
+  const auto& endpoints = policy_.state().endpoints;
+  bool isAnyEndpointForgotten =
+      std::any_of(response.attempts.begin(), response.attempts.end(),
+                  [&](const EarlierAttempt& attempt) { return !endpoints.contains(attempt.endpoint); });
+  if (isAnyEndpointForgotten) return store_.addPendingNotification(id, FinalOutcome::failed, 0);
+  policy_.acceptMessage(id, message->type, message->tenant, message->orderingKey, message->destination,
+                        response.deadline);
+  for (const EarlierAttempt& attempt : response.attempts) {
+    policy_.recordEarlierAttempt(id, attempt.endpoint, attempt.sentAt, attempt.provablyNotExecuted);
+  }
+}
+
+}  // namespace stonewing
--- a/src/delivery/response_reader.cpp
+++ b/src/delivery/response_reader.cpp
@@ -7,6 +7,9 @@
 namespace stonewing {
 namespace {
 
+constexpr std::string_view kRetryAfterHeader = "X-Backoff-Ms";
+constexpr std::string_view kStatusLineStart = "HTTP/1.";
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kGone = 410;
@@ -16,7 +19,7 @@
 constexpr int kGatewayTimeout = 504;
 
 Millis retryAfterOf(const EndpointConnection& connection) {
-  auto milliseconds = parseWholeNumber(connection.header("X-Backoff-Ms"));
+  auto milliseconds = parseWholeNumber(connection.header(kRetryAfterHeader));
   return milliseconds ? static_cast<Millis>(*milliseconds) : 0;
 }
 
@@ -88,14 +91,47 @@
   }
 }
 
+// Whether the incomplete response is the only one that can have been sent for the request. On a kept
+// connection, it may be part of an earlier response that is repeated, before the true one or with it.
+bool isOnlyResponse(const EndpointConnection& connection) {
+  if (connection.exchangeCount() == 0) return true;
+  bool isLast = connection.failure() == ConnectionFailure::endedByPeer;
+  return isLast && connection.received().rfind(kStatusLineStart) == 0;
+}
+
 }  // namespace
 
+bool namesNoMessage(const EndpointConnection& connection) {
+  if (connection.status() != kOk || connection.attempts().size() <= 1) return false;
+  std::map<std::string_view, std::string_view> wordOfReference = readBatchBody(connection.body());
+  return std::none_of(
+      connection.attempts().begin(), connection.attempts().end(),
+      [&](const BatchedAttempt& attempt) { return wordOfReference.contains(attempt.reference); });
+}
+
 std::vector<AttemptResult> readAttemptResults(const EndpointConnection& connection) {
   std::size_t count = connection.attempts().size();
+  // An endpoint begins a request when its last byte has come, so a request that was not written completely
+  // was not executed, whatever the response reports.
+  bool isRejection = connection.status() == kTooManyRequests || connection.status() == kServiceUnavailable;
+  if (!connection.wasRequestWritten() && !isRejection && !isRequestUnreadable(connection.status())) {
+    return std::vector<AttemptResult>(count, {AttemptOutcome::connectFailed});
+  }
   if (connection.status() == kOk && count > 1) return readBatchResults(connection);
   return std::vector<AttemptResult>(count, resultOfStatus(connection));
 }
 
+Millis retryAfterOf(std::string_view response) {
+  HttpResponseParser parser;
+  if (parser.parse(response, StreamState::open) == HttpResponseParser::Progress::malformed) return 0;
+  auto milliseconds = parseWholeNumber(parser.header(response, kRetryAfterHeader));
+  return milliseconds ? static_cast<Millis>(*milliseconds) : 0;
+}
+
+AttemptResult unattributed(const AttemptResult& result) {
+  return {AttemptOutcome::unattributed, OutcomeScope::attempt, result.retryAfter};
+}
+
 bool isRequestUnreadable(int status) { return status == kBadRequest || status == kPayloadTooLarge; }
 
 AttemptOutcome healthCheckOutcome(int status) {
@@ -108,7 +144,9 @@
   // A request whose last byte was not written cannot have been executed.
   if (!connection.isRequestWritten()) return AttemptOutcome::connectFailed;
   // A status line with 200 is valid, even if the remaining response is not.
-  if (connection.status() == kOk && connection.attempts().size() == 1) return AttemptOutcome::completed;
+  if (connection.status() == kOk && connection.attempts().size() == 1) {
+    return isOnlyResponse(connection) ? AttemptOutcome::completed : AttemptOutcome::unattributed;
+  }
   // Any other bytes come from an endpoint that is alive, has executed the request, and has sent a malformed
   // response. If the outcome were that of a dead connection, the policy would reuse idle connections for less
   // time.
--- a/src/delivery/response_reader.h
+++ b/src/delivery/response_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string_view>
 #include <vector>
 
 #include "delivery/endpoint_connection.h"
@@ -23,6 +24,17 @@
 // The results that a complete response reports, one for each attempt of the request, in their order.
 std::vector<AttemptResult> readAttemptResults(const EndpointConnection& connection);
 
+// Whether a batch response names none of the request's messages, so that it belongs to another request.
+bool namesNoMessage(const EndpointConnection& connection);
+
+// The time for which a response asks not to be sent another request, in milliseconds from now; 0 for none.
+// `response`: the first bytes of a response, which may be incomplete.
+Millis retryAfterOf(std::string_view response);
+
+// The result of an attempt whose response, which reports `result`, may belong to another request. A delay
+// that the response asks for is respected all the same.
+AttemptResult unattributed(const AttemptResult& result);
+
 // Whether a status means that the endpoint could not parse the request, which is a fault of this program.
 bool isRequestUnreadable(int status);
 
--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -156,8 +156,9 @@
   }
 
   // Whether the dispatcher may doubt that a response belongs to its request: a fault altered a response of
-  // that endpoint since the request arrived. Another attempt of a message that may be repeated is then
-  // allowed; it is answered as delivered once more. Rule 2 still holds for it.
+  // that endpoint shortly before the request or since. One altered response puts the connection out of step,
+  // so that each later response counts for the request after its own. Another attempt of a message that may
+  // be repeated is then allowed; it is answered as delivered once more. Rule 2 still holds for it.
   bool isResponseDoubtful(std::uint32_t message, const TraceEvent& response) const {
     if (type(message).idempotency == Idempotency::nonIdempotent) return false;
     Millis arrivedAt = response.at;
@@ -165,8 +166,8 @@
       if (event(n).type == TraceEventType::arrived && event(n).request == response.request)
         arrivedAt = event(n).at;
     }
-    return wasResponseAltered(response.dispatcher, response.endpoint, arrivedAt,
-                              response.at + kDoubtDuration);
+    Millis from = arrivedAt - kDoubtDuration;
+    return wasResponseAltered(response.dispatcher, response.endpoint, from, response.at + kDoubtDuration);
   }
 
   // Rule 1: each accepted message has exactly one outcome, in time, and no attempt of it is sent afterwards.
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -49,6 +49,16 @@
   if (socket_.isOpen() && isConnected_ && isBusy_) read(StreamEnd::possible);
 }
 
+void HttpClientConnection::checkIdle() {
+  if (socket_.isOpen() && isConnected_ && !isBusy_) read(StreamEnd::possible);
+}
+
+std::string HttpClientConnection::readUnread() {
+  std::string unread;
+  if (socket_.isOpen() && isConnected_) readAvailable(socket_.get(), unread, maxResponseBytes_);
+  return unread;
+}
+
 bool HttpClientConnection::isReusable() const {
   if (!socket_.isOpen()) return false;
   char byte;
@@ -131,8 +141,9 @@
 
 void HttpClientConnection::finishExchange(ReadResult result) {
   // Stays open for another exchange only if no bytes are left to read and the whole request was sent.
+  wasRequestWritten_ = unsent_.empty();
   bool hasExtraBytes = !unexpectedBytes().empty() || result == ReadResult::more;
-  if (isEnded(result) || !parser_.keepsAlive() || hasExtraBytes || !unsent_.empty()) close();
+  if (isEnded(result) || !parser_.keepsAlive() || hasExtraBytes || !wasRequestWritten_) close();
   isBusy_ = false;
   ++exchangeCount_;
   observer_.onResponse(*this);
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -76,8 +76,13 @@
   void startExchange();
   // Closes at once. The observer is not called.
   void close();
-  // Reads bytes that have arrived since the last read. This can end the exchange and call the observer.
+  // Reads bytes that have arrived for the current exchange since the last read. This can end the exchange and
+  // call the observer.
   void readPending();
+  // Reads what has arrived on an idle connection, which breaks if it has ended or if bytes have arrived.
+  void checkIdle();
+  // Reads bytes that arrived before the next request was written, and returns them.
+  std::string readUnread();
   // Whether an idle connection can be used again: it has not ended, and no unexpected bytes have arrived.
   bool isReusable() const;
 
@@ -85,6 +90,8 @@
   ConnectionFailure failure() const { return failure_; }
   // The number of complete responses so far.
   int exchangeCount() const { return exchangeCount_; }
+  // All that has arrived for the current exchange, or since the start of the last one.
+  std::string_view received() const { return received_; }
   // Bytes after the end of the last response, which belong to no request; valid until the next exchange.
   std::string_view unexpectedBytes() const {
     return std::string_view(received_).substr(std::min(parser_.length(), received_.size()));
@@ -97,6 +104,8 @@
   // Bytes of a response have arrived. Even if no complete response follows, the server has executed the
   // request.
   bool hasReceived() const { return !received_.empty(); }
+  // Whether the request of the last response was written completely before the response.
+  bool wasRequestWritten() const { return wasRequestWritten_; }
   // The whole request is written, and its exchange is in progress.
   bool isRequestWritten() const { return isBusy_ && isConnected_ && unsent_.empty(); }
   // The response's status code, header and body, valid until the next exchange; see HttpResponseParser.
@@ -124,6 +133,7 @@
   bool isOutOfResources_{false};
   ConnectionFailure failure_{ConnectionFailure::none};
   int exchangeCount_{0};
+  bool wasRequestWritten_{false};
   std::string received_;
   WriteBuffer unsent_;
   HttpResponseParser parser_;
--- a/src/policy/attempt_outcome.h
+++ b/src/policy/attempt_outcome.h
@@ -13,6 +13,7 @@
   timeout,        // no response in time
   connectFailed,  // no connection was established; provably not executed
   reset,          // the connection broke while the request was in flight
+  unattributed,   // a response came that may belong to another request; the message may have been executed
   cancelled,      // this host cancelled the attempt
   notSent,        // never sent: no longer wanted, or no longer allowed
   localResourceExhausted  // never sent: this host lacked a resource, such as a file descriptor
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -22,7 +22,7 @@
 // Whether the attempt was sent and may still be executed later.
 bool isUncertain(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::timeout || outcome == AttemptOutcome::reset ||
-         outcome == AttemptOutcome::cancelled;
+         outcome == AttemptOutcome::cancelled || outcome == AttemptOutcome::unattributed;
 }
 
 }  // namespace
@@ -40,6 +40,7 @@
       endpoints_(settings_, clock_, zones_, limiter_),
       requests_(clock_),
       connections_(settings_, clock_, pacer_),
+      trust_(clock_),
       healthChecker_(settings_, clock_, healthCheckQueue_, endpoints_, outliers_, slowStart_, zones_),
       ordering_(settings_, clock_),
       messages_(clock_, zones_, ordering_),
@@ -184,7 +185,9 @@
     applyRejection(attempt, result);
     return;
   }
-  if (result.outcome == AttemptOutcome::cancelled || isUnsent(result.outcome)) return;
+  bool showsNothing = result.outcome == AttemptOutcome::cancelled ||
+                      result.outcome == AttemptOutcome::unattributed || isUnsent(result.outcome);
+  if (showsNothing) return;
   if (isStaleConnection(message, attempt, result)) return;
   // An attempt that timed out at the message's deadline may only have been sent late. It counts as a failure
   // only if a response would have been late by then.
@@ -291,6 +294,27 @@
          mayStillAttempt(settings_, *message, attempt, clock_.now());
 }
 
+void DispatchPolicy::recordUnexpectedBytes(EndpointId id) { trust_.recordUnexpectedBytes(id); }
+
+void DispatchPolicy::recordRetryAfter(EndpointId id, Millis retryAfter) {
+  if (Endpoint* endpoint = endpoints_.find(id)) pacer_.recordRetryAfter(*endpoint->route, retryAfter);
+}
+
+std::optional<Millis> DispatchPolicy::quietBeforeReuse(EndpointId id) const {
+  return trust_.quietBeforeReuse(id, endpoints_.endpoints().size());
+}
+
+ResponseDoubt DispatchPolicy::responseDoubt(MessageId id, int attemptNumber, AttemptOutcome outcome,
+                                            bool isFinal) const {
+  const Message* message = messages_.find(id);
+  if (message == nullptr || message->finished) return {};
+  const TrafficType& type = trafficTypeOf(settings_, *message);
+  ResponseHandling handling = handlingOf(type, outcome, isFinal);
+  if (handling == ResponseHandling::conclude) return {};
+  const Attempt& attempt = message->attempts.at(static_cast<std::size_t>(attemptNumber));
+  return {handling, confirmationTime(handling, latencies_.typicalP95(*attempt.endpoint, type))};
+}
+
 // Asks the modules in the order of urgency: first for final answers to clients, then for cancellations, which
 // free requests, then for attempts and health checks, which occupy requests.
 std::optional<Decision> DispatchPolicy::nextDecision() {
--- a/src/policy/dispatch_policy.h
+++ b/src/policy/dispatch_policy.h
@@ -7,6 +7,7 @@
 #include "policy/attempt_report.h"
 #include "policy/concurrency_limiter.h"
 #include "policy/connection_reuse.h"
+#include "policy/connection_trust.h"
 #include "policy/decision.h"
 #include "policy/endpoint_registry.h"
 #include "policy/endpoint_selector.h"
@@ -23,6 +24,7 @@
 #include "policy/random_source.h"
 #include "policy/rate_pacer.h"
 #include "policy/request_tracker.h"
+#include "policy/response_evidence.h"
 #include "policy/retry_budget.h"
 #include "policy/round_clock.h"
 #include "policy/scheduler.h"
@@ -81,6 +83,10 @@
                             Millis retryAfter, LoadReport report);
   void recordHealthCheckOutcome(EndpointId id, AttemptOutcome outcome, LoadReport report);
   void recordTimerFired();
+  // Bytes that belong to no request arrived on a connection to the endpoint.
+  void recordUnexpectedBytes(EndpointId id);
+  // A response asks for a delay, from now, before its outcome is recorded. An unknown endpoint is ignored.
+  void recordRetryAfter(EndpointId id, Millis retryAfter);
 
   // Returns the next decision of this round; nothing when the round has ended.
   std::optional<Decision> nextDecision();
@@ -91,6 +97,13 @@
   // established. That may be late, when a new attempt at the endpoint would no longer be allowed.
   bool mayStartAttempt(MessageId id, int attempt) const;
 
+  // How long a connection to the endpoint must have been quiet since its last response before it may carry
+  // another request, in milliseconds; no value if it may carry only one.
+  std::optional<Millis> quietBeforeReuse(EndpointId id) const;
+  // How to handle the outcome of a pending attempt by a response that may belong to an earlier request on its
+  // connection. isFinal: the outcome ends the message.
+  ResponseDoubt responseDoubt(MessageId id, int attempt, AttemptOutcome outcome, bool isFinal) const;
+
   PolicyState state() const;
 
  private:
@@ -127,6 +140,7 @@
   EndpointRegistry endpoints_;
   RequestTracker requests_;
   ConnectionReuse connections_;
+  ConnectionTrust trust_;
   HealthChecker healthChecker_;
   Ordering ordering_;
   MessageRegistry messages_;
--- a/tests/delivery/attempt_sender_test.cpp
+++ b/tests/delivery/attempt_sender_test.cpp
@@ -139,6 +139,7 @@
   harness.accept("one", "order", 9000);
   ASSERT_TRUE(harness.sendUpTo("\r\n\r\nx"));
   ASSERT_TRUE(harness.respondAndFinishAll());
+  harness.turnFor(kUntilReusable);
   harness.accept("two", "order", 9000);
   harness.sendDecided([&] {
     ::shutdown(harness.connection, SHUT_RDWR);
@@ -161,6 +162,7 @@
       harness.accept("one", "order", 9000);
       ASSERT_TRUE(harness.sendUpTo("\r\n\r\nx"));
       ASSERT_TRUE(harness.respondAndFinishAll());
+      harness.turnFor(kUntilReusable);
       int oldConnection = std::exchange(harness.connection, -1);
       auto sendUnexpected = [&] { sendBytes(oldConnection, unexpected); };
       if (when < 2) sendUnexpected();
--- a/tests/delivery/hedged_attempt_test.cpp
+++ b/tests/delivery/hedged_attempt_test.cpp
@@ -32,12 +32,14 @@
     for (int index = 0; index < 20; ++index) {
       accept("w" + std::to_string(index), "status", 9000);
       sendDecided();
-      EXPECT_TRUE(turnUntil([&] {
-        for (EndpointSide& endpoint : endpoints) {
-          if (hasRequest(endpoint)) respond(endpoint);
-        }
-        return store.inFlight().empty();
-      }));
+      EXPECT_TRUE(turnUntil(
+          [&] {
+            for (EndpointSide& endpoint : endpoints) {
+              if (hasRequest(endpoint)) respond(endpoint);
+            }
+            return store.inFlight().empty();
+          },
+          kUntilConfirmed));
     }
   }
   ~HedgeHarness() {
@@ -99,7 +101,7 @@
       HedgeHarness::respond(first);
       if (order == Order::both) HedgeHarness::respond(second);
     }
-    EXPECT_TRUE(harness.turnUntil([&] { return harness.store.inFlight().empty(); }));
+    EXPECT_TRUE(harness.turnUntil([&] { return harness.store.inFlight().empty(); }, kUntilConfirmed));
     if (order == Order::loserLater) {
       harness.sendDecided();
       char byte;  // the losing attempt's connection was closed
--- a/tests/support/attempt_sender_harness.h
+++ b/tests/support/attempt_sender_harness.h
@@ -42,6 +42,13 @@
   return settings;
 }
 
+// A connection is reused only after it has been quiet for a time, in milliseconds; this is longer.
+inline constexpr Millis kUntilReusable = 70;
+
+// A delivery on a reused connection is finished once nothing contradicts it any more, at the latest after
+// this time, in milliseconds, with some more for the turns.
+inline constexpr Millis kUntilConfirmed = 3000;
+
 // A sender with one endpoint, s-1 of destination 7, which records received bytes and responds when the test
 // asks for it. Cancellations decided by the policy are ignored; the test cancels with cancelAttempt(), so
 // that the result does not depend on the clock.
@@ -109,6 +116,12 @@
     sender.onTick();
   }
 
+  // Turns the loop for so many milliseconds.
+  void turnFor(Millis duration) {
+    Millis end = loop.now() + duration;
+    while (loop.now() < end) turn();
+  }
+
   // Turns the loop until the condition holds. Returns false if it does not hold within `timeout`
   // milliseconds.
   bool turnUntil(const std::function<bool()>& condition, Millis timeout = 1000) {
@@ -121,7 +134,7 @@
   // Responds 200 to the latest request. Returns whether that finishes all messages.
   bool respondAndFinishAll() {
     sendBytes(connection, kEmptyResponse);
-    return turnUntil([&] { return store.inFlight().empty(); });
+    return turnUntil([&] { return store.inFlight().empty(); }, kUntilConfirmed);
   }
 
   // Sends the attempts that are due. Returns whether the endpoint receives bytes that end with `lastBytes`.
