Response parser: two contradicting lengths are malformed

Change: two different lengths are malformed; a length beside chunks is decoded by its chunks, and the connection is not kept. Result: HttpResponseParser.RejectsAMalformedResponse and ParsesAllForms have the cases.

--- a/src/net/http_response_parser.cpp
+++ b/src/net/http_response_parser.cpp
@@ -164,16 +164,34 @@
   status_ = 0;
 }
 
+// Whether the headers state two different lengths of the body, so that its end is unknown.
+bool HttpResponseParser::hasContradictingLengths(std::string_view bytes) const {
+  std::string_view first = header(bytes, "Content-Length");
+  for (std::size_t lineStart = headersStart_; lineStart < bodyStart_;) {
+    std::size_t lineEnd = bytes.find('\n', lineStart);
+    std::string_view line = bytes.substr(lineStart, lineEnd - lineStart);
+    lineStart = lineEnd + 1;
+    std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) continue;
+    bool isLength = equalsIgnoringCase(trimmed(line.substr(0, colon)), "Content-Length");
+    if (isLength && trimmed(line.substr(colon + 1)) != first) return true;
+  }
+  return false;
+}
+
 // Determines from the headers how the body ends and whether the connection stays open.
 HttpResponseParser::Progress HttpResponseParser::readBodyFraming(std::string_view bytes) {
   std::string_view connection = header(bytes, "Connection");
   if (listContains(connection, "close")) keepsAlive_ = false;
   if (listContains(connection, "keep-alive")) keepsAlive_ = true;
 
+  if (hasContradictingLengths(bytes)) return Progress::malformed;
   std::string_view coding = header(bytes, "Transfer-Encoding");
   std::string_view contentLength = header(bytes, "Content-Length");
   if (!coding.empty()) {
     if (!equalsIgnoringCase(coding, "chunked")) return Progress::malformed;
+    // A machine before the server may have gone by the length instead, and see another end of the response.
+    if (!contentLength.empty()) keepsAlive_ = false;
     isChunked_ = true;
     nextChunk_ = bodyStart_;
   } else if (!contentLength.empty()) {
--- a/src/net/http_response_parser.h
+++ b/src/net/http_response_parser.h
@@ -45,6 +45,7 @@
   Progress parseHeaders(std::string_view bytes);
   Progress findBodyStart(std::string_view bytes);
   Progress readBodyFraming(std::string_view bytes);
+  bool hasContradictingLengths(std::string_view bytes) const;
   void skipInterimResponse();
   Progress parseChunks(std::string_view bytes);
   Progress parseTrailers(std::string_view bytes, std::size_t position);
--- a/tests/net/http_response_parser_test.cpp
+++ b/tests/net/http_response_parser_test.cpp
@@ -31,6 +31,10 @@
         Case{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x=y\r\nc\r\n0\r\n"
              "T: u\r\n\r\n",
              "abc", 200, true},
+        // A length beside chunks: the chunks count, and the connection is not kept.
+        Case{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+             "a", 200, false},
+        Case{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\ncontent-length: 1\r\n\r\na", "a", 200, true},
         Case{"HTTP/1.0 503 Full\r\nContent-Length: 1\r\n\r\nx", "x", 503, false},
         Case{"HTTP/1.1 500 Oh\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx", "x", 500, false},
         Case{kHttpNoContent, "", 204, true}}) {
@@ -57,6 +61,7 @@
 TEST(HttpResponseParser, RejectsAMalformedResponse) {
   for (const std::string malformed :
        {"HTTQ", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1 2000\r\n", "HTTP/1.1 099 x\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
         "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
         "HTTP/1.1 101 Go\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
