--- a/src/lab/http_server.cpp
+++ b/src/lab/http_server.cpp
@@ -135,6 +135,9 @@
 
 void HttpServerConnection::carryOut(const std::vector<WireWrite>& writes, bool closeAfter) {
   for (const WireWrite& write : writes) {
+    // A response to delay is altered from now on, even if the dispatcher gives it up meanwhile.
+    bool isDelaying = write.isFault && write.fault == FaultKind::delayedResponse;
+    if (isDelaying) server_.wire_->onStrike(location(), write.fault, number_);
     if (write.delay <= 0) {
       carryOutNow(write, closeAfter);
       continue;
@@ -147,8 +150,9 @@
 
 void HttpServerConnection::carryOutNow(const WireWrite& write, bool closeAfter) {
   if (fd_ < 0 || peerClosed()) return;
-  if (write.isFault) server_.wire_->onStrike(location(), write.fault, number_);
-  send(write.bytes, write.closesAfter || (closeAfter && !write.isFault));
+  bool isDelayed = write.isFault && write.fault == FaultKind::delayedResponse;
+  if (write.isFault && !isDelayed) server_.wire_->onStrike(location(), write.fault, number_);
+  send(write.bytes, write.closesAfter || (closeAfter && (!write.isFault || isDelayed)));
 }
 
 void HttpServerConnection::send(std::string bytes, bool closeAfter) {
