Discovery: log how each poll ends, each list in use and each change of an endpoint's state

Change: discovery.poll_ended, discovery.list_applied, endpoint.state_changed and discovery.counters, at level info and at a bounded rate (docs/log.md). Each poll has a number. Decisions and polls are as before.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -28,7 +28,7 @@
       names_(names),
       address_(discovery),
       host_(std::move(host)),
-      directory_(policy),
+      directory_(policy, log_, loop),
       retrySchedule_(seed) {}
 
 // One unusable entry (malformed, or of a zone that the settings do not name) must not prevent all others from
@@ -46,8 +46,9 @@
   }
   bool listsAllEndpoints = list.extent == ListExtent::full && isAccepted;
   std::int64_t version = list.version;
-  directory_.applyList(std::move(list), listsAllEndpoints ? EndpointDirectory::AbsentEndpoints::removed
-                                                          : EndpointDirectory::AbsentEndpoints::unchanged);
+  directory_.applyList(list, listsAllEndpoints ? EndpointDirectory::AbsentEndpoints::removed
+                                               : EndpointDirectory::AbsentEndpoints::unchanged);
+  log_.listApplied(list, directory_.count(), loop_.now());
   pollKind_ = isAccepted ? PollKind::changes : PollKind::fullList;
   if (isAccepted) version_ = version;
   return isAccepted;
@@ -72,14 +73,20 @@
 }
 
 void DiscoveryClient::onTick() {
+  log_.logCounters(loop_.now());
   if (loop_.now() < due()) return;
   if (isPollPending_) {
-    onBroken(*connection_);  // discovery did not respond in time
+    endBrokenPoll(*connection_, endOfTimedOutPoll());
   } else {
     poll();
   }
 }
 
+PollEnd DiscoveryClient::endOfTimedOutPoll() const {
+  if (!connection_->isConnected()) return PollEnd::connectTimedOut;
+  return responseDeadline_ ? PollEnd::incomplete : PollEnd::unanswered;
+}
+
 // A connection carries one poll: on a kept one, a repeated response would count for the next poll, and an old
 // list would replace a new one. Returns false if no connection could be opened.
 bool DiscoveryClient::openConnection() {
@@ -96,11 +103,15 @@
 }
 
 void DiscoveryClient::poll() {
-  if (!openConnection()) return retryAfterFailure();
+  ++pollNumber_;
+  pollStartedAt_ = loop_.now();
+  if (!openConnection()) {
+    retryAfterFailure();
+    return logPollEnd(connection_->isOutOfResources() ? PollEnd::noDescriptor : PollEnd::connectFailed);
+  }
   connection_->add("GET " + pollTarget() + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n");
   connection_->startExchange();
   isPollPending_ = true;
-  pollStartedAt_ = loop_.now();
   responseDeadline_.reset();
 }
 
@@ -113,6 +124,7 @@
   connection.close();
   if (connection.status() == kStatusServiceUnavailable) {  // discovery is overloaded; version_ stays valid
     nextPollAt_ = loop_.now() + retrySchedule_.delayAfterRejection();
+    logPollEnd(PollEnd::rejected);
     log::info("discovery.rejected", {{"after_ms", nextPollAt_ - loop_.now()}, {"kept", directory_.count()}});
     return;
   }
@@ -120,8 +132,9 @@
     applyResponse(connection);
   } catch (const Error& problem) {
     log::warn("discovery.unreadable", {{"why", problem.what()}, {"kept", directory_.count()}});
-    pollKind_ = PollKind::fullList;
     retryAfterFailure();
+    logPollEnd(PollEnd::unreadable);
+    pollKind_ = PollKind::fullList;
   }
 }
 
@@ -130,13 +143,21 @@
     throw ParseError("the response status is not 200 but " + std::to_string(connection.status()));
   const json answer = json::parse(connection.body(), nullptr, false);
   if (answer.is_discarded()) throw ParseError("the response body is not JSON");
-  if (!applyAnswer(answer)) return retryAfterFailure();
-  hasAcceptedResponse_ = true;
-  retrySchedule_.reset();
-  nextPollAt_ = loop_.now();  // polling again at once continues the watch
+  if (applyAnswer(answer)) {
+    hasAcceptedResponse_ = true;
+    retrySchedule_.reset();
+    nextPollAt_ = loop_.now();  // polling again at once continues the watch
+  } else {
+    retryAfterFailure();
+  }
+  logPollEnd(PollEnd::applied);
 }
 
 void DiscoveryClient::onBroken(HttpClientConnection& connection) {
+  endBrokenPoll(connection, pollEndOf(connection.failure()));
+}
+
+void DiscoveryClient::endBrokenPoll(HttpClientConnection& connection, PollEnd end) {
   // Without this log line, a dispatcher that never receives a list would answer PING and reject every message
   // without any sign of the cause.
   if (isPollPending_ && connection.hasReceived()) {
@@ -146,7 +167,19 @@
                {"kept", directory_.count()}});
   }
   connection.close();
-  if (std::exchange(isPollPending_, false)) retryAfterFailure();
+  if (!std::exchange(isPollPending_, false)) return;
+  retryAfterFailure();
+  logPollEnd(end);
+}
+
+void DiscoveryClient::logPollEnd(PollEnd end) {
+  log_.pollEnded({.number = pollNumber_,
+                  .end = end,
+                  .requested = pollKind_ == PollKind::fullList ? ListExtent::full : ListExtent::changes,
+                  .since = version_,
+                  .bytes = connection_->received().size(),
+                  .spent = loop_.now() - pollStartedAt_},
+                 nextPollAt_ - loop_.now(), loop_.now());
 }
 
 void DiscoveryClient::retryAfterFailure() { nextPollAt_ = loop_.now() + retrySchedule_.delayAfterFailure(); }
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -6,7 +6,9 @@
 #include <optional>
 #include <string>
 
+#include "discovery/discovery_log.h"
 #include "discovery/endpoint_directory.h"
+#include "discovery/poll_end.h"
 #include "discovery/retry_schedule.h"
 #include "net/http_client_connection.h"
 #include "policy/dispatch_policy.h"
@@ -63,15 +65,20 @@
   std::string pollTarget() const;
   void applyResponse(const HttpClientConnection& connection);
   void retryAfterFailure();
+  PollEnd endOfTimedOutPoll() const;
+  void endBrokenPoll(HttpClientConnection& connection, PollEnd end);
+  void logPollEnd(PollEnd end);
 
   EventLoop& loop_;
   const NameTables& names_;
   sockaddr_in address_;
   std::string host_;
+  DiscoveryLog log_;
   EndpointDirectory directory_;
   discovery_timing::RetrySchedule retrySchedule_;
   std::unique_ptr<HttpClientConnection> connection_;
 
+  std::uint64_t pollNumber_{0};  // of the last poll
   bool isPollPending_{false};
   PollKind pollKind_{PollKind::changes};  // of the pending poll, or else of the next one
   Millis pollStartedAt_{0};
--- a/src/discovery/endpoint_directory.cpp
+++ b/src/discovery/endpoint_directory.cpp
@@ -21,27 +21,39 @@
   return id;
 }
 
-void EndpointDirectory::applyList(EndpointList list, AbsentEndpoints absentEndpoints) {
-  ListExtent extent = list.extent;
-  std::vector<ListedEndpoint> entries = usableEntries(std::move(list));
-  if (extent == ListExtent::changes && entries.empty()) return;
+void EndpointDirectory::applyList(const EndpointList& list, AbsentEndpoints absentEndpoints) {
+  std::vector<ListedEndpoint> entries = usableEntries(list);
+  if (list.extent == ListExtent::changes && entries.empty()) return;
   policy_.beginEndpointList();
-  for (ListedEndpoint& entry : entries) {
-    const EndpointRecord& record = entry.endpoint.record;
-    EndpointId id = idOf(record.name);
-    policy_.addEndpoint(id, record.destination, record.kind, record.zone, entry.weight, entry.state);
-    destinations_.insert(record.destination);
-    endpoints_[id] = std::move(entry.endpoint);
-  }
+  for (const ListedEndpoint& listed : entries) addListed(listed, list.version);
   policy_.commitEndpointList(absentEndpoints == AbsentEndpoints::removed);
   removeEndpointsUnknownToPolicy();
 }
 
-std::vector<ListedEndpoint> EndpointDirectory::usableEntries(EndpointList list) const {
+void EndpointDirectory::addListed(const ListedEndpoint& listed, std::int64_t version) {
+  const EndpointRecord& record = listed.endpoint.record;
+  EndpointId id = idOf(record.name);
+  bool wasKnown = endpoints_.contains(id);
+  EndpointState previous = stateOf(id);
+  policy_.addEndpoint(id, record.destination, record.kind, record.zone, listed.weight, listed.state);
+  if (wasKnown && previous != listed.state) {
+    log_.endpointStateChanged(record.name, previous, listed.state, version, loop_.now());
+  }
+  destinations_.insert(record.destination);
+  endpoints_[id] = listed.endpoint;
+}
+
+EndpointState EndpointDirectory::stateOf(EndpointId id) const {
+  const auto& endpoints = policy_.state().endpoints;
+  auto known = endpoints.find(id);
+  return known == endpoints.end() ? EndpointState::removed : known->second.state;
+}
+
+std::vector<ListedEndpoint> EndpointDirectory::usableEntries(const EndpointList& list) const {
   std::vector<ListedEndpoint> entries;
-  for (auto& entry : list.entries) {
-    if (auto* listed = std::get_if<ListedEndpoint>(&entry)) {
-      entries.push_back(std::move(*listed));
+  for (const auto& entry : list.entries) {
+    if (const auto* listed = std::get_if<ListedEndpoint>(&entry)) {
+      entries.push_back(*listed);
     } else if (auto previous = previousEntry(std::get<UnusableEntry>(entry))) {
       entries.push_back(std::move(*previous));
     }
