--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -51,6 +51,11 @@
     {"answer-split", FaultKind::splitResponse},
     {"answer-held", FaultKind::delayedResponse},
     {"answer-closed", FaultKind::closeAfterResponse},
+    {"answer-stalled", FaultKind::stalledResponse},
+    {"answer-cut", FaultKind::cutResponse},
+    {"answer-long", FaultKind::overstatedLength},
+    {"answer-old", FaultKind::outdatedResponse},
+    {"answer-refused", FaultKind::rejectedRequest},
 };
 
 // The Levenshtein distance of two words.
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -115,6 +115,11 @@
   splitResponse,       // writes a response byte by byte
   delayedResponse,     // holds a response back for the delay
   closeAfterResponse,  // closes the connection after a response that promised to keep it open
+  stalledResponse,     // writes the first `part` of a response at once and the rest after the delay
+  cutResponse,         // writes the first `part` of a response, then closes the connection
+  overstatedLength,    // announces a body longer than it is
+  outdatedResponse,    // writes the first response that the dispatcher got from this source instead
+  rejectedRequest,     // answers a request with 503 and does not pass it on
 };
 
 // Whose responses a machine between servers and dispatchers alters.
@@ -137,7 +142,8 @@
   Millis delayFrom{0};  // the delay is drawn between the two
   Millis delayTo{0};
   int times{1};
-  double part{1};  // share of a response's bytes
+  // Share of a response's bytes. For stalledResponse and cutResponse, 1 stands for a share that is drawn.
+  double part{1};
 };
 
 struct FleetSettings {
--- a/src/lab/http_server.cpp
+++ b/src/lab/http_server.cpp
@@ -86,6 +86,7 @@
     if (server_.wire_ != nullptr) {
       carryOut(server_.wire_->faults.onRequest(location(), previousResponse_), false);
       if (fd_ < 0) return;
+      if (rejectByFault()) continue;
     }
     server_.handler_.requestReceived(server_, *this, std::move(request));
   }
@@ -94,6 +95,14 @@
   if (result == ReadResult::more) loop_.reschedule(fd_);
 }
 
+// Returns whether a fault answered the request with a rejection.
+bool HttpServerConnection::rejectByFault() {
+  if (!server_.wire_->faults.rejectsRequest(location())) return false;
+  handlingRequest_ = false;
+  carryOutNow({.bytes = kRejection, .isFault = true, .fault = FaultKind::rejectedRequest}, false);
+  return true;
+}
+
 bool HttpServerConnection::peerClosed() const {
   if (fd_ < 0) return true;
   pollfd poll{fd_, POLLRDHUP, 0};
--- a/src/lab/http_server.h
+++ b/src/lab/http_server.h
@@ -49,6 +49,7 @@
   // Carries out the writes of wire faults.
   void carryOut(const std::vector<WireWrite>& writes, bool closeAfter);
   void carryOutNow(const WireWrite& write, bool closeAfter);
+  bool rejectByFault();
   WireLocation location() const;
 
   EventLoop& loop_;
--- a/src/lab/wire_faults.cpp
+++ b/src/lab/wire_faults.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "lab/random_draws.h"
+#include "net/number_parsing.h"
 
 namespace stonewing::lab {
 namespace {
@@ -12,6 +13,8 @@
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n";
 constexpr std::string_view kTrailingBytes = "\r\nnoise behind the body\r\n";
 constexpr Millis kSplitInterval = 0.2;  // between two bytes of a split response
+constexpr std::string_view kLengthHeader = "Content-Length: ";
+constexpr std::uint64_t kOverstatedBytes = 10;
 
 // The first `share` of a response, at least one byte of it.
 std::string partOf(const std::string& response, double share) {
@@ -19,6 +22,30 @@
   return response.substr(0, std::max<std::size_t>(1, length));
 }
 
+// Whether a fault of this kind replaces, delays or adds writes of a response.
+bool altersWrites(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::earlyResponse:
+    case FaultKind::overstatedLength:
+    case FaultKind::outdatedResponse:
+    case FaultKind::rejectedRequest:
+      return false;
+    default:
+      return true;
+  }
+}
+
+// The response with a body that is announced longer than it is; unchanged if it announces no length.
+std::string withOverstatedLength(const std::string& response) {
+  std::size_t position = response.find(kLengthHeader);
+  if (position == std::string::npos) return response;
+  position += kLengthHeader.size();
+  std::size_t end = response.find("\r\n", position);
+  std::string_view digits = std::string_view(response).substr(position, end - position);
+  std::uint64_t length = parseWholeNumber(digits).value_or(0) + kOverstatedBytes;
+  return response.substr(0, position) + std::to_string(length) + response.substr(end);
+}
+
 }  // namespace
 
 bool isWireFault(FaultKind kind) {
@@ -30,6 +57,11 @@
     case FaultKind::splitResponse:
     case FaultKind::delayedResponse:
     case FaultKind::closeAfterResponse:
+    case FaultKind::stalledResponse:
+    case FaultKind::cutResponse:
+    case FaultKind::overstatedLength:
+    case FaultKind::outdatedResponse:
+    case FaultKind::rejectedRequest:
       return true;
     default:
       return false;
@@ -63,12 +95,28 @@
   return fault.delayFrom + uniform(random_) * (fault.delayTo - fault.delayFrom);
 }
 
+double WireFaults::drawPart(const Fault& fault) { return fault.part < 1 ? fault.part : uniform(random_); }
+
+std::string WireFaults::alteredText(const WireLocation& location, std::string response,
+                                    std::vector<WireWrite>& strikes) {
+  const std::string& first =
+      firstResponses_.try_emplace({location.source, location.dispatcher}, response).first->second;
+  for (const Fault* fault : active_) {
+    bool isOutdated = fault->kind == FaultKind::outdatedResponse && first != response;
+    if ((!isOutdated && fault->kind != FaultKind::overstatedLength) || !this->strikes(*fault, location))
+      continue;
+    response = isOutdated ? first : withOverstatedLength(response);
+    strikes.push_back({.bytes = "", .isFault = true, .fault = fault->kind});
+  }
+  return response;
+}
+
 std::vector<WireWrite> WireFaults::onResponse(const WireLocation& location, const std::string& response) {
-  WireWrite original{.bytes = response};
   std::vector<WireWrite> before;
+  WireWrite original{.bytes = alteredText(location, response, before)};
   std::vector<WireWrite> after;
   for (const Fault* fault : active_) {
-    if (fault->kind == FaultKind::earlyResponse || !strikes(*fault, location)) continue;
+    if (!altersWrites(fault->kind) || !strikes(*fault, location)) continue;
     WireWrite work;
     work.isFault = true;
     work.fault = fault->kind;
@@ -107,6 +155,18 @@
         work.delay = drawDelay(*fault);
         after.push_back(work);
         break;
+      case FaultKind::stalledResponse:
+        work.bytes = partOf(original.bytes, drawPart(*fault));
+        original.bytes.erase(0, work.bytes.size());
+        original.delay += drawDelay(*fault);
+        before.push_back(work);
+        break;
+      case FaultKind::cutResponse:
+        work.bytes = partOf(original.bytes, drawPart(*fault));
+        work.closesAfter = true;
+        original.bytes.clear();
+        before.push_back(work);
+        break;
       default:
         break;
     }
@@ -120,6 +180,12 @@
   return writes;
 }
 
+bool WireFaults::rejectsRequest(const WireLocation& location) {
+  return std::any_of(active_.begin(), active_.end(), [&](const Fault* fault) {
+    return fault->kind == FaultKind::rejectedRequest && strikes(*fault, location);
+  });
+}
+
 std::vector<WireWrite> WireFaults::onRequest(const WireLocation& location,
                                              const std::string& previousResponse) {
   std::vector<WireWrite> writes;
--- a/src/lab/wire_faults.h
+++ b/src/lab/wire_faults.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lab/experiment.h"
@@ -19,7 +21,7 @@
   int dispatcher{};
 };
 
-// Bytes to write to the dispatcher.
+// Bytes to write to the dispatcher. Without bytes, only the fault is counted.
 struct WireWrite {
   Millis delay{0};  // from now
   std::string bytes;
@@ -37,6 +39,8 @@
   void apply(const Fault& fault, bool begins);
   // What is written in place of a response, in the order of writing.
   std::vector<WireWrite> onResponse(const WireLocation& location, const std::string& response);
+  // Whether a request is answered with kRejection instead of being passed on.
+  bool rejectsRequest(const WireLocation& location);
   // What is written when a request arrives, before its response. `previousResponse`: of the connection; empty
   // for its first request.
   std::vector<WireWrite> onRequest(const WireLocation& location, const std::string& previousResponse);
@@ -44,12 +48,20 @@
  private:
   bool strikes(const Fault& fault, const WireLocation& location);
   Millis drawDelay(const Fault& fault);
+  double drawPart(const Fault& fault);
+  // Applies the active faults that alter the text of a response, and adds a write without bytes for each.
+  std::string alteredText(const WireLocation& location, std::string response,
+                          std::vector<WireWrite>& strikes);
 
   const Experiment& experiment_;
   std::mt19937 random_;
   std::vector<const Fault*> active_;
+  std::map<std::pair<ResponseSource, int>, std::string> firstResponses_;  // by source and dispatcher
 };
 
+// The response to a request that WireFaults rejects.
+inline constexpr const char* kRejection = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
 // Whether a fault of this kind is carried out by WireFaults.
 bool isWireFault(FaultKind kind);
 
