Discovery: polls after a cut or unreadable change follow each other within the drain grace

Cause: after each cut answer the delay was doubled from 50 ms up to 1 s, and a 503 between them took 0.9 to 2.7 s, as if nothing were known; but an answer that has begun shows that there is a change. Change: UnreadChange says from when until when a change is known and unread. An answer at the end of a watch is refuted by one such poll, any other by four; after 6 s it is given up until a list was read. Without such an answer nothing is polled sooner.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr int kStatusUnknown = 0;  // the status line has not arrived completely
 constexpr int kStatusOk = 200;
 constexpr int kStatusServiceUnavailable = 503;
 
@@ -70,11 +71,12 @@
   std::optional<Millis> startAt = nextStartAt();
   Millis due = startAt.value_or(polls_.empty() ? nextPollAt_ : polls_.front()->timeoutAt());
   for (const auto& poll : polls_) due = std::min(due, poll->timeoutAt());
-  return due;
+  return std::min(due, unreadChange_.expiresAt().value_or(due));
 }
 
 void DiscoveryClient::onTick() {
   log_.logCounters(loop_.now());
+  if (unreadChange_.closeIfExpired(loop_.now())) closeUnreadChange("no poll could be read");
   endTimedOutPolls();
   std::optional<Millis> startAt = nextStartAt();
   if (startAt && loop_.now() >= *startAt) startPoll();
@@ -92,24 +94,30 @@
 std::optional<Millis> DiscoveryClient::nextStartAt() const {
   if (polls_.empty()) return nextPollAt_;
   const DiscoveryPoll& newest = *polls_.back();
-  // A poll that awaits its response is a watch, which discovery answers once there is a change.
-  if (newest.stage() == DiscoveryPoll::Stage::awaitingResponse) return std::nullopt;
-  return std::max(nextPollAt_, newest.stageSince() + stallTimeout_);
+  Millis timeout = stallTimeout_;
+  if (newest.stage() == DiscoveryPoll::Stage::awaitingResponse) {
+    // Discovery answers a watch once there is a change, and at once if there is one already.
+    if (!unreadChange_.isOpen()) return std::nullopt;
+    timeout = std::max(timeout, kUnreadAnswerTimeout);
+  }
+  return std::max(nextPollAt_, newest.stageSince() + timeout);
 }
 
 void DiscoveryClient::startPoll() {
+  bool isUnanswered = !polls_.empty() && polls_.back()->stage() == DiscoveryPoll::Stage::awaitingResponse;
+  if (isUnanswered && unreadChange_.recordUnanswered()) return closeUnreadChange("discovery tells no change");
   if (!polls_.empty()) stallTimeout_ = std::min(2 * stallTimeout_, kMaxStallTimeout);
   if (polls_.size() == kMaxPolls) endPoll(*polls_.back(), PollEnd::superseded);
   polls_.push_back(std::make_unique<DiscoveryPoll>(loop_, *this, ++pollCount_, request_));
   if (auto failure = polls_.back()->start(address_, host_)) onPollBroken(*polls_.back(), *failure);
 }
 
-void DiscoveryClient::onPollResponseStarted(DiscoveryPoll&) {}
+void DiscoveryClient::onPollResponseStarted(DiscoveryPoll& poll) { recordUnreadChange(poll); }
 
 void DiscoveryClient::onPollResponse(DiscoveryPoll& poll) {
   const HttpClientConnection& connection = poll.connection();
   if (connection.status() == kStatusServiceUnavailable) {  // discovery is overloaded; the version stays valid
-    nextPollAt_ = loop_.now() + retrySchedule_.delayAfterRejection();
+    nextPollAt_ = loop_.now() + rejectionDelay();
     log::info("discovery.rejected", {{"after_ms", nextPollAt_ - loop_.now()}, {"kept", directory_.count()}});
     return endPoll(poll, PollEnd::rejected);
   }
@@ -117,6 +125,7 @@
     applyResponse(connection);
   } catch (const Error& problem) {
     log::warn("discovery.unreadable", {{"why", problem.what()}, {"kept", directory_.count()}});
+    recordUnreadChange(poll);
     request_.extent = ListExtent::full;
     retryAfterFailure();
     return endPoll(poll, PollEnd::unreadable);
@@ -133,12 +142,15 @@
   if (!applyAnswer(answer)) return retryAfterFailure();
   hasAcceptedResponse_ = true;
   retrySchedule_.reset();
+  unreadChange_.recordRead();
   stallTimeout_ = drainBudget_.stallTimeout;
   nextPollAt_ = loop_.now();  // polling again at once continues the watch
 }
 
 void DiscoveryClient::onPollBroken(DiscoveryPoll& poll, PollEnd end) {
   if (poll.connection().hasReceived()) logUnreadable(poll);
+  // The end of a response that had begun earlier shows nothing new.
+  if (poll.stage() != DiscoveryPoll::Stage::readingResponse) recordUnreadChange(poll);
   retryAfterFailure();
   endPoll(poll, end);
 }
@@ -150,7 +162,33 @@
                                      {"kept", directory_.count()}});
 }
 
-void DiscoveryClient::retryAfterFailure() { nextPollAt_ = loop_.now() + retrySchedule_.delayAfterFailure(); }
+// A response of another status, or without any byte, tells no change.
+void DiscoveryClient::recordUnreadChange(const DiscoveryPoll& poll) {
+  const HttpClientConnection& connection = poll.connection();
+  bool mayBeList = connection.status() == kStatusUnknown || connection.status() == kStatusOk;
+  if (!connection.hasReceived() || !mayBeList) return;
+  using Evidence = UnreadChange::Evidence;
+  Evidence evidence = poll.isAnsweredAtWatchTimeout() ? Evidence::possible : Evidence::certain;
+  if (unreadChange_.recordBegun(loop_.now(), evidence)) {
+    log_.changeUnread(poll.number(), connection.received().size(), evidence);
+  }
+}
+
+void DiscoveryClient::closeUnreadChange(const char* why) {
+  log::warn("discovery.change_dropped", {{"why", why}, {"kept", directory_.count()}});
+  stallTimeout_ = drainBudget_.stallTimeout;
+  while (polls_.size() > 1) endPoll(*polls_.front(), PollEnd::superseded);
+}
+
+void DiscoveryClient::retryAfterFailure() {
+  nextPollAt_ = loop_.now() + (unreadChange_.isOpen() ? retrySchedule_.delayAfterUnreadFailure()
+                                                      : retrySchedule_.delayAfterFailure());
+}
+
+Millis DiscoveryClient::rejectionDelay() {
+  return unreadChange_.isOpen() ? retrySchedule_.delayAfterUnreadRejection()
+                                : retrySchedule_.delayAfterRejection();
+}
 
 void DiscoveryClient::endPoll(const DiscoveryPoll& poll, PollEnd end) {
   log_.pollEnded({.number = poll.number(),
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -11,6 +11,7 @@
 #include "discovery/discovery_poll.h"
 #include "discovery/endpoint_directory.h"
 #include "discovery/retry_schedule.h"
+#include "discovery/unread_change.h"
 #include "policy/dispatch_policy.h"
 #include "policy/drain_budget.h"
 #include "storage/message_store.h"
@@ -66,7 +67,11 @@
   std::optional<Millis> nextStartAt() const;
   void startPoll();
   void applyResponse(const HttpClientConnection& connection);
+  void recordUnreadChange(const DiscoveryPoll& poll);
+  // No poll has shown a change for so long that it is no longer waited for.
+  void closeUnreadChange(const char* why);
   void retryAfterFailure();
+  Millis rejectionDelay();
   // Removes a pending poll.
   void endPoll(const DiscoveryPoll& poll, PollEnd end);
   void supersedePolls();
@@ -80,6 +85,7 @@
   DiscoveryLog log_;
   EndpointDirectory directory_;
   discovery_timing::RetrySchedule retrySchedule_;
+  UnreadChange unreadChange_;
 
   std::vector<std::unique_ptr<DiscoveryPoll>> polls_;  // pending, the oldest first
   std::uint64_t pollCount_{0};
--- a/src/discovery/discovery_log.cpp
+++ b/src/discovery/discovery_log.cpp
@@ -46,6 +46,13 @@
               {"suppressed", pollLines_.takeSuppressed()}});
 }
 
+void DiscoveryLog::changeUnread(std::uint64_t poll, std::size_t bytes,
+                                UnreadChange::Evidence evidence) const {
+  bool isCertain = evidence == UnreadChange::Evidence::certain;
+  log::info("discovery.change_unread",
+            {{"poll", poll}, {"bytes", bytes}, {"evidence", isCertain ? "certain" : "possible"}});
+}
+
 void DiscoveryLog::listApplied(const EndpointList& list, std::size_t endpointCount, Millis now) {
   if (list.entries.empty() || !log::isEnabled(log::Level::info) || !listLines_.allow(now)) return;
   log::event(log::Level::info, "discovery.list_applied",
--- a/src/discovery/discovery_log.h
+++ b/src/discovery/discovery_log.h
@@ -9,6 +9,7 @@
 #include "discovery/discovery_poll.h"
 #include "discovery/endpoint_list_parser.h"
 #include "discovery/poll_end.h"
+#include "discovery/unread_change.h"
 #include "logging/rate_limit.h"
 #include "policy/endpoint_state.h"
 
@@ -32,6 +33,8 @@
   // `retryAfter`: until the next poll, in milliseconds. A poll whose list is in use, or
   // that was superseded, is logged at level debug.
   void pollEnded(const PollSummary& poll, Millis retryAfter, Millis now);
+  // A change that is not read completely has begun to arrive; `bytes` of its response have.
+  void changeUnread(std::uint64_t poll, std::size_t bytes, UnreadChange::Evidence evidence) const;
   // A list was applied. Lists without entries are not logged.
   void listApplied(const EndpointList& list, std::size_t endpointCount, Millis now);
   // The list of this version changed an endpoint's state.
--- a/src/discovery/retry_schedule.h
+++ b/src/discovery/retry_schedule.h
@@ -40,6 +40,13 @@
 // all to be served. With short first delays, their polls would keep discovery overloaded, and it would go on
 // rejecting.
 constexpr Millis kRejectionDelay = 1800;
+// The delays after a failure and after a rejection while a change is known and unread (UnreadChange). The
+// first ones have to fit into DrainBudget::readWithin; if they do not succeed, polls become rarer.
+constexpr Millis kMinUnreadRetryDelay = 15;
+constexpr Millis kMaxUnreadRetryDelay = 500;
+constexpr Millis kMinUnreadRejectionDelay = 75;
+// A poll without an answer for this long, while a change is known, shows that discovery does not tell it.
+constexpr Millis kUnreadAnswerTimeout = 150;
 // Delays are multiplied by a random factor from 1 - kDelaySpread to 1 + kDelaySpread.
 constexpr double kDelaySpread = 0.5;
 
@@ -62,14 +69,24 @@
   explicit RetrySchedule(std::uint64_t seed)
       : random_(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))) {}
 
-  Millis delayAfterFailure() { return nextDelay(kMinRetryDelay, kMaxRetryDelay); }
-  Millis delayAfterRejection() { return nextDelay(kRejectionDelay, kRejectionDelay); }
+  Millis delayAfterFailure() { return nextDelay(kDoubling, kMinRetryDelay, kMaxRetryDelay); }
+  Millis delayAfterRejection() { return nextDelay(kDoubling, kRejectionDelay, kRejectionDelay); }
+  // The next two are for the time in which a change is known and unread.
+  Millis delayAfterUnreadFailure() {
+    return nextDelay(kUnreadGrowth, kMinUnreadRetryDelay, kMaxUnreadRetryDelay);
+  }
+  Millis delayAfterUnreadRejection() {
+    return nextDelay(kDoubling, kMinUnreadRejectionDelay, kRejectionDelay);
+  }
   // To be called after a successful poll or a change of address: delays begin at the shortest again.
   void reset() { delay_ = 0; }
 
  private:
-  Millis nextDelay(Millis minDelay, Millis maxDelay) {
-    delay_ = std::clamp(2 * delay_, minDelay, maxDelay);
+  static constexpr double kDoubling = 2;
+  static constexpr double kUnreadGrowth = 1.5;
+
+  Millis nextDelay(double growth, Millis minDelay, Millis maxDelay) {
+    delay_ = std::clamp(growth * delay_, minDelay, maxDelay);
     std::uniform_real_distribution<double> factor(1 - kDelaySpread, 1 + kDelaySpread);
     return delay_ * factor(random_);
   }
--- /dev/null
+++ b/src/discovery/unread_change.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <optional>
+
+#include "base/ids.h"
+
+namespace stonewing {
+
+// Tracks a change of the endpoint list that discovery has begun to tell and that could not be read
+// completely. From then on the list in use counts as out of date until a poll is answered, or until later
+// polls show that discovery has nothing new. Times are milliseconds of the event loop's clock.
+class UnreadChange {
+ public:
+  // What the beginning of a response shows.
+  enum class Evidence {
+    possible,  // the watch had timed out, so the response may tell that nothing has changed
+    certain,   // discovery answers a poll at once only if it has something to tell
+  };
+
+  // A response has begun and is incomplete. Returns whether this opens a change.
+  bool recordBegun(Millis now, Evidence evidence);
+  // A later poll remains without an answer, although discovery answers at once if it has a change to tell.
+  // Returns whether this was the last piece of evidence needed, and the change is closed.
+  bool recordUnanswered();
+  // A list was read completely.
+  void recordRead();
+  // Closes a change that could not be read for longer than kMaxNotificationDelay. Another one does not open
+  // until a list has been read. Returns whether it was closed.
+  bool closeIfExpired(Millis now);
+
+  // When the response began; no value if there is no unread change.
+  std::optional<Millis> begunAt() const { return begunAt_; }
+  bool isOpen() const { return begunAt_.has_value(); }
+  // When closeIfExpired() closes the change; no value if there is none.
+  std::optional<Millis> expiresAt() const;
+
+ private:
+  std::optional<Millis> begunAt_;
+  Evidence evidence_{Evidence::possible};
+  int unansweredPolls_{0};
+  bool hasExpired_{false};  // and no list has been read since
+};
+
+}  // namespace stonewing
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -138,6 +138,53 @@
   ::close(stalled);
 }
 
+// The delays between polls whose answers are cut must not add up to more than the grace.
+TEST(DiscoveryClient, FiveAnswersCutInARowDoNotHoldBackADrainPastTheGrace) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  std::string drain = listResponse(2, "terminating");
+  Millis writtenAt = harness.loop.now();
+  for (int cut = 0; cut < 5; ++cut) {
+    harness.respond(drain.substr(0, drain.size() / 4));
+    ::shutdown(harness.connection, SHUT_WR);
+    ASSERT_NE(harness.nextPoll(kDrainGrace).requestLine, "");
+  }
+  EXPECT_LT(harness.loop.now() - writtenAt, kDrainGrace);
+}
+
+// A rejection after an answer that was cut must not delay the next poll as an overloaded discovery's does.
+TEST(DiscoveryClient, ARejectionAfterACutAnswerDoesNotHoldBackADrainPastTheGrace) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  std::string drain = listResponse(2, "terminating");
+  Millis writtenAt = harness.loop.now();
+  harness.respond(drain.substr(0, drain.size() / 4));
+  ::shutdown(harness.connection, SHUT_WR);
+  ASSERT_NE(harness.nextPoll(kDrainGrace).requestLine, "");
+  harness.respond(httpResponse(503, ""));
+  ASSERT_NE(harness.nextPoll(kDrainGrace).requestLine, "");
+  EXPECT_LT(harness.loop.now() - writtenAt, kDrainGrace);
+}
+
+// Polls that discovery leaves unanswered, as it does with nothing to tell, must not be repeated for long.
+TEST(DiscoveryClient, PollsAsBeforeOnceDiscoveryHasNothingToTellAfterACutAnswer) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond("HTTP/1.1 200 OK\r\nContent-Le");
+  ::shutdown(harness.connection, SHUT_WR);
+  int polls = 0;
+  Millis began = harness.loop.now();
+  while (harness.loop.now() - began < 1900) polls += harness.nextPoll(20).requestLine.empty() ? 0 : 1;
+  EXPECT_LE(polls, 5);
+  EXPECT_EQ(harness.nextPoll(300).requestLine, "");
+}
+
 // A response that takes long but goes on must become complete, however many polls start beside it.
 TEST(DiscoveryClient, ASlowAnswerIsReadToItsEnd) {
   DiscoveryHarness harness;
--- /dev/null
+++ b/tests/discovery/unread_change_test.cpp
@@ -0,0 +1,47 @@
+#include "discovery/unread_change.h"
+
+#include <gtest/gtest.h>
+
+#include "discovery/retry_schedule.h"
+
+// From when until when the endpoint list counts as out of date.
+namespace stonewing::testing {
+namespace {
+
+using Evidence = UnreadChange::Evidence;
+using discovery_timing::kMaxNotificationDelay;
+
+TEST(UnreadChange, CountsFromTheFirstOfSeveralIncompleteResponses) {
+  UnreadChange change;
+  EXPECT_TRUE(change.recordBegun(100, Evidence::certain));
+  EXPECT_FALSE(change.recordBegun(200, Evidence::certain));
+  EXPECT_EQ(change.begunAt(), 100);
+  change.recordRead();
+  EXPECT_FALSE(change.isOpen());
+}
+
+TEST(UnreadChange, OneUnansweredPollRefutesAResponseAtTheEndOfAWatchAndNotACertainChange) {
+  UnreadChange possible;
+  possible.recordBegun(100, Evidence::possible);
+  EXPECT_TRUE(possible.recordUnanswered());
+  EXPECT_FALSE(possible.isOpen());
+  UnreadChange certain;
+  certain.recordBegun(100, Evidence::possible);
+  certain.recordBegun(150, Evidence::certain);
+  for (int count = 0; count < 3; ++count) EXPECT_FALSE(certain.recordUnanswered());
+  EXPECT_TRUE(certain.isOpen());
+  EXPECT_TRUE(certain.recordUnanswered());
+}
+
+TEST(UnreadChange, ExpiresAndDoesNotOpenAgainUntilAListIsRead) {
+  UnreadChange change;
+  change.recordBegun(100, Evidence::certain);
+  EXPECT_FALSE(change.closeIfExpired(100 + kMaxNotificationDelay - 1));
+  EXPECT_TRUE(change.closeIfExpired(100 + kMaxNotificationDelay));
+  EXPECT_FALSE(change.recordBegun(9000, Evidence::certain));
+  change.recordRead();
+  EXPECT_TRUE(change.recordBegun(9100, Evidence::certain));
+}
+
+}  // namespace
+}  // namespace stonewing::testing
