Policy: no attempt begins past the drain grace while a change of the list is unread

Cause: a list in use counted as current although discovery had begun to tell a change; nothing connected the deployment's drain grace with the decision that an attempt begins. Change: ListChangeGuard holds attempts and hedges back from 0.2 s before the end of the grace until the change is read, refuted or 6 s old; an attempt decided earlier is asked again before its first byte. Messages are failed and shed in time as before. A slow answer does not count as read what began after it. Log: attempts.paused and attempts.resumed. Price: none without an incomplete answer. Tests ListChangeGuard, DrainBudget, DiscoveryClient.NoAttemptBeginsPastTheGraceWhileEveryAnswerIsCut, UnreadChange.AnOlderAnswerDoesNotReadAResponseThatBeganLater.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -28,6 +28,7 @@
                                  sockaddr_in discovery, std::string host, std::uint64_t seed,
                                  Millis drainGrace)
     : loop_(loop),
+      policy_(policy),
       names_(names),
       address_(discovery),
       host_(std::move(host)),
@@ -80,6 +81,18 @@
   endTimedOutPolls();
   std::optional<Millis> startAt = nextStartAt();
   if (startAt && loop_.now() >= *startAt) startPoll();
+  logAttemptsPaused();
+}
+
+void DiscoveryClient::logAttemptsPaused() {
+  const bool arePaused = !policy_.mayBeginAttempts();
+  if (std::exchange(areAttemptsPaused_, arePaused) == arePaused) return;
+  if (arePaused) {
+    log::warn("attempts.paused", {{"why", "a change of the endpoint list is known and could not be read"},
+                                  {"version", request_.since}});
+  } else {
+    log::info("attempts.resumed", {{"version", request_.since}});
+  }
 }
 
 void DiscoveryClient::endTimedOutPolls() {
@@ -122,7 +135,7 @@
     return endPoll(poll, PollEnd::rejected);
   }
   try {
-    applyResponse(connection);
+    applyResponse(poll);
   } catch (const Error& problem) {
     log::warn("discovery.unreadable", {{"why", problem.what()}, {"kept", directory_.count()}});
     recordUnreadChange(poll);
@@ -134,7 +147,8 @@
   supersedePolls();
 }
 
-void DiscoveryClient::applyResponse(const HttpClientConnection& connection) {
+void DiscoveryClient::applyResponse(const DiscoveryPoll& poll) {
+  const HttpClientConnection& connection = poll.connection();
   if (connection.status() != kStatusOk)
     throw ParseError("the response status is not 200 but " + std::to_string(connection.status()));
   const json answer = json::parse(connection.body(), nullptr, false);
@@ -142,8 +156,7 @@
   if (!applyAnswer(answer)) return retryAfterFailure();
   hasAcceptedResponse_ = true;
   retrySchedule_.reset();
-  unreadChange_.recordRead();
-  stallTimeout_ = drainBudget_.stallTimeout;
+  recordChangeRead(poll);
   nextPollAt_ = loop_.now();  // polling again at once continues the watch
 }
 
@@ -170,11 +183,20 @@
   using Evidence = UnreadChange::Evidence;
   Evidence evidence = poll.isAnsweredAtWatchTimeout() ? Evidence::possible : Evidence::certain;
   if (unreadChange_.recordBegun(loop_.now(), evidence)) {
+    policy_.recordUnreadListChange(loop_.now());
     log_.changeUnread(poll.number(), connection.received().size(), evidence);
   }
 }
 
+void DiscoveryClient::recordChangeRead(const DiscoveryPoll& poll) {
+  unreadChange_.recordRead(poll.responseBegunAt());
+  policy_.recordListChangeRead();
+  if (auto begunAt = unreadChange_.begunAt()) policy_.recordUnreadListChange(*begunAt);
+  stallTimeout_ = drainBudget_.stallTimeout;
+}
+
 void DiscoveryClient::closeUnreadChange(const char* why) {
+  policy_.recordListChangeRead();
   log::warn("discovery.change_dropped", {{"why", why}, {"kept", directory_.count()}});
   stallTimeout_ = drainBudget_.stallTimeout;
   while (polls_.size() > 1) endPoll(*polls_.front(), PollEnd::superseded);
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -66,8 +66,10 @@
   // When the next poll starts, alone or beside one that stalls; no value if it waits for the pending ones.
   std::optional<Millis> nextStartAt() const;
   void startPoll();
-  void applyResponse(const HttpClientConnection& connection);
+  void applyResponse(const DiscoveryPoll& poll);
   void recordUnreadChange(const DiscoveryPoll& poll);
+  void recordChangeRead(const DiscoveryPoll& poll);
+  void logAttemptsPaused();
   // No poll has shown a change for so long that it is no longer waited for.
   void closeUnreadChange(const char* why);
   void retryAfterFailure();
@@ -78,6 +80,7 @@
   void logUnreadable(const DiscoveryPoll& poll) const;
 
   EventLoop& loop_;
+  DispatchPolicy& policy_;
   const NameTables& names_;
   sockaddr_in address_;
   std::string host_;
@@ -93,6 +96,7 @@
   Millis stallTimeout_;   // of the newest poll
   // What the next poll asks for. The version is that of the list that was accepted last.
   PollRequest request_;
+  bool areAttemptsPaused_{false};    // as logged last
   bool isRecheckingEntries_{false};  // the last answer had unusable entries; the full list is polled to check
   bool hasAcceptedResponse_{false};
 };
--- a/src/discovery/discovery_poll.cpp
+++ b/src/discovery/discovery_poll.cpp
@@ -84,7 +84,7 @@
 
 bool DiscoveryPoll::isAnsweredAtWatchTimeout() const {
   if (request_.extent == ListExtent::full) return false;
-  return responseStartedAt_.value_or(loop_.now()) >= connectedAt_ + kWatchTimeout - kAnswerAllowance;
+  return responseBegunAt() >= connectedAt_ + kWatchTimeout - kAnswerAllowance;
 }
 
 bool DiscoveryPoll::mayStartExchange(HttpClientConnection&) {
--- a/src/discovery/retry_schedule.h
+++ b/src/discovery/retry_schedule.h
@@ -43,7 +43,7 @@
 // The delays after a failure and after a rejection while a change is known and unread (UnreadChange). The
 // first ones have to fit into DrainBudget::readWithin; if they do not succeed, polls become rarer.
 constexpr Millis kMinUnreadRetryDelay = 15;
-constexpr Millis kMaxUnreadRetryDelay = 500;
+constexpr Millis kMaxUnreadRetryDelay = 200;
 constexpr Millis kMinUnreadRejectionDelay = 75;
 // A poll without an answer for this long, while a change is known, shows that discovery does not tell it.
 constexpr Millis kUnreadAnswerTimeout = 150;
--- a/src/discovery/unread_change.cpp
+++ b/src/discovery/unread_change.cpp
@@ -1,5 +1,7 @@
 #include "discovery/unread_change.h"
 
+#include <cstddef>
+
 #include "discovery/retry_schedule.h"
 
 namespace stonewing {
@@ -8,6 +10,8 @@
 // So many polls without an answer show that discovery has nothing to tell, or has fallen silent.
 constexpr int kUnansweredIfPossible = 1;
 constexpr int kUnansweredIfCertain = 4;
+// More responses cannot begin until the first of them expires, as far as they matter here.
+constexpr std::size_t kMaxResponses = 64;
 
 }  // namespace
 
@@ -15,33 +19,41 @@
   if (hasExpired_) return false;
   if (evidence == Evidence::certain) evidence_ = Evidence::certain;
   unansweredPolls_ = 0;
-  if (begunAt_) return false;
-  begunAt_ = now;
-  return true;
+  if (begunAt_.size() < kMaxResponses) begunAt_.push_back(now);
+  return begunAt_.size() == 1;
 }
 
 bool UnreadChange::recordUnanswered() {
-  if (!begunAt_) return false;
+  if (!isOpen()) return false;
   ++unansweredPolls_;
   const int needed = evidence_ == Evidence::certain ? kUnansweredIfCertain : kUnansweredIfPossible;
   if (unansweredPolls_ < needed) return false;
-  begunAt_.reset();
-  evidence_ = Evidence::possible;
+  *this = {};
   return true;
 }
 
-void UnreadChange::recordRead() { *this = {}; }
+void UnreadChange::recordRead(Millis responseBegunAt) {
+  std::erase_if(begunAt_, [responseBegunAt](Millis begunAt) { return begunAt <= responseBegunAt; });
+  hasExpired_ = false;
+  unansweredPolls_ = 0;
+  if (!isOpen()) evidence_ = Evidence::possible;
+}
 
 bool UnreadChange::closeIfExpired(Millis now) {
-  if (!begunAt_ || now < *expiresAt()) return false;
+  if (!isOpen() || now < *expiresAt()) return false;
   *this = {};
   hasExpired_ = true;
   return true;
 }
 
+std::optional<Millis> UnreadChange::begunAt() const {
+  if (!isOpen()) return std::nullopt;
+  return begunAt_.front();
+}
+
 std::optional<Millis> UnreadChange::expiresAt() const {
-  if (!begunAt_) return std::nullopt;
-  return *begunAt_ + discovery_timing::kMaxNotificationDelay;
+  if (!isOpen()) return std::nullopt;
+  return begunAt_.front() + discovery_timing::kMaxNotificationDelay;
 }
 
 }  // namespace stonewing
--- a/src/discovery/unread_change.h
+++ b/src/discovery/unread_change.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <vector>
 
 #include "base/ids.h"
 
@@ -22,20 +23,20 @@
   // A later poll remains without an answer, although discovery answers at once if it has a change to tell.
   // Returns whether this was the last piece of evidence needed, and the change is closed.
   bool recordUnanswered();
-  // A list was read completely.
-  void recordRead();
+  // A list was read completely. Responses that began later than its own remain unread: they may tell more.
+  void recordRead(Millis responseBegunAt);
   // Closes a change that could not be read for longer than kMaxNotificationDelay. Another one does not open
   // until a list has been read. Returns whether it was closed.
   bool closeIfExpired(Millis now);
 
-  // When the response began; no value if there is no unread change.
-  std::optional<Millis> begunAt() const { return begunAt_; }
-  bool isOpen() const { return begunAt_.has_value(); }
+  // When the first of the unread responses began; no value if there is none.
+  std::optional<Millis> begunAt() const;
+  bool isOpen() const { return !begunAt_.empty(); }
   // When closeIfExpired() closes the change; no value if there is none.
   std::optional<Millis> expiresAt() const;
 
  private:
-  std::optional<Millis> begunAt_;
+  std::vector<Millis> begunAt_;  // of each unread response, in the order of time
   Evidence evidence_{Evidence::possible};
   int unansweredPolls_{0};
   bool hasExpired_{false};  // and no list has been read since
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -41,6 +41,7 @@
       requests_(clock_),
       connections_(settings_, clock_, pacer_),
       trust_(clock_),
+      listChanges_(clock_, settings_.drainGrace),
       healthChecker_(settings_, clock_, healthCheckQueue_, endpoints_, outliers_, slowStart_, zones_),
       ordering_(settings_, clock_),
       messages_(clock_, zones_, ordering_),
@@ -287,7 +288,7 @@
 
 bool DispatchPolicy::mayStartAttempt(MessageId id, int attemptNumber) const {
   const Message* message = messages_.find(id);
-  if (message == nullptr || message->finished) return false;
+  if (message == nullptr || message->finished || !listChanges_.mayBeginAttempts()) return false;
   const Attempt& attempt = message->attempts.at(static_cast<std::size_t>(attemptNumber));
   const Endpoint& endpoint = *attempt.endpoint;
   return endpoint.state == EndpointState::ready && clock_.now() >= endpoint.route->pacing.retryAfterUntil() &&
@@ -323,8 +324,10 @@
   if (auto decision = shedder_.nextEviction()) return decision;
   if (auto decision = canceller_.nextLosing()) return decision;
   if (auto decision = canceller_.nextStuck()) return decision;
-  if (auto decision = nextHedge()) return decision;
-  if (auto decision = nextAttempt()) return decision;
+  if (listChanges_.mayBeginAttempts()) {
+    if (auto decision = nextHedge()) return decision;
+    if (auto decision = nextAttempt()) return decision;
+  }
   if (auto decision = nextIdleConnection()) return decision;
   if (auto decision = healthChecker_.next()) return decision;
   return nextTimer();
--- a/src/policy/dispatch_policy.h
+++ b/src/policy/dispatch_policy.h
@@ -15,6 +15,7 @@
 #include "policy/health_checker.h"
 #include "policy/hedging.h"
 #include "policy/latency_tracker.h"
+#include "policy/list_change_guard.h"
 #include "policy/load_shedder.h"
 #include "policy/message_registry.h"
 #include "policy/ordering.h"
@@ -88,6 +89,15 @@
   // A response asks for a delay, from now, before its outcome is recorded. An unknown endpoint is ignored.
   void recordRetryAfter(EndpointId id, Millis retryAfter);
 
+  // A change of the endpoint list began to arrive at `begunAt`, and is not read completely. From shortly
+  // before the end of the drain grace on, no attempt begins until recordListChangeRead(). The earliest call
+  // counts.
+  void recordUnreadListChange(Millis begunAt) { listChanges_.recordUnread(begunAt); }
+  // No change is unread any more: one was read, or is no longer waited for.
+  void recordListChangeRead() { listChanges_.recordRead(); }
+  // Whether attempts may begin as far as changes of the endpoint list are concerned.
+  bool mayBeginAttempts() const { return listChanges_.mayBeginAttempts(); }
+
   // Returns the next decision of this round; nothing when the round has ended.
   std::optional<Decision> nextDecision();
 
@@ -141,6 +151,7 @@
   RequestTracker requests_;
   ConnectionReuse connections_;
   ConnectionTrust trust_;
+  ListChangeGuard listChanges_;
   HealthChecker healthChecker_;
   Ordering ordering_;
   MessageRegistry messages_;
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -170,6 +170,28 @@
   EXPECT_LT(harness.loop.now() - writtenAt, kDrainGrace);
 }
 
+// If the news that an endpoint drains cannot be read within the grace, no attempt may begin until it is read.
+TEST(DiscoveryClient, NoAttemptBeginsPastTheGraceWhileEveryAnswerIsCut) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  std::string drain = listResponse(2, "terminating");
+  Millis writtenAt = harness.loop.now();
+  while (harness.loop.now() - writtenAt < 2 * kDrainGrace) {
+    harness.respond(drain.substr(0, 1));
+    ::shutdown(harness.connection, SHUT_WR);
+    ASSERT_NE(harness.nextPoll(2 * kDrainGrace).requestLine, "");
+    bool isEarly = harness.loop.now() - writtenAt < kDrainGrace / 2;
+    EXPECT_TRUE(!isEarly || harness.policy.mayBeginAttempts());
+  }
+  EXPECT_FALSE(harness.policy.mayBeginAttempts());
+  harness.respond(drain);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  EXPECT_TRUE(harness.policy.mayBeginAttempts());
+  EXPECT_FALSE(harness.isReady("s-1"));
+}
+
 // Polls that discovery leaves unanswered, as it does with nothing to tell, must not be repeated for long.
 TEST(DiscoveryClient, PollsAsBeforeOnceDiscoveryHasNothingToTellAfterACutAnswer) {
   DiscoveryHarness harness;
--- a/tests/discovery/unread_change_test.cpp
+++ b/tests/discovery/unread_change_test.cpp
@@ -16,7 +16,18 @@
   EXPECT_TRUE(change.recordBegun(100, Evidence::certain));
   EXPECT_FALSE(change.recordBegun(200, Evidence::certain));
   EXPECT_EQ(change.begunAt(), 100);
-  change.recordRead();
+  change.recordRead(200);
+  EXPECT_FALSE(change.isOpen());
+}
+
+// A slow answer is older than a response that began after it, and must not count as that response's.
+TEST(UnreadChange, AnOlderAnswerDoesNotReadAResponseThatBeganLater) {
+  UnreadChange change;
+  change.recordBegun(100, Evidence::certain);
+  change.recordBegun(300, Evidence::certain);
+  change.recordRead(100);
+  EXPECT_EQ(change.begunAt(), 300);
+  change.recordRead(400);
   EXPECT_FALSE(change.isOpen());
 }
 
@@ -39,7 +50,7 @@
   EXPECT_FALSE(change.closeIfExpired(100 + kMaxNotificationDelay - 1));
   EXPECT_TRUE(change.closeIfExpired(100 + kMaxNotificationDelay));
   EXPECT_FALSE(change.recordBegun(9000, Evidence::certain));
-  change.recordRead();
+  change.recordRead(9050);
   EXPECT_TRUE(change.recordBegun(9100, Evidence::certain));
 }
 
