Testbed: a full list counts as told, as a list of changes does

Cause: discovery's full lists left no event, so the audit did not judge drains that a full list told, and took an endpoint that a full list made ready again for draining. Change: one function records what is told, for lists of both kinds. The check itself is unchanged.

--- a/src/lab/emulated_servers.cpp
+++ b/src/lab/emulated_servers.cpp
@@ -138,19 +138,23 @@
   return R"({"version":)" + std::to_string(version_) + R"(,"full":true,"servers":[)" + rows + "]}";
 }
 
+void EmulatedServers::recordNotified(int dispatcher, const DiscoveryEntry& entry) {
+  EndpointState& notified = notifiedStates_[static_cast<std::size_t>(dispatcher)][entry.endpoint];
+  if (notified == entry.state) return;
+  notified = entry.state;
+  trace_.events.push_back({.at = clock_.now(),
+                           .type = TraceEventType::endpointStateNotified,
+                           .endpoint = entry.endpoint,
+                           .dispatcher = static_cast<std::uint16_t>(dispatcher),
+                           .status = static_cast<std::int16_t>(entry.state)});
+}
+
 void EmulatedServers::answerWatch(int dispatcher, std::int64_t since, HttpServerConnection& connection) {
   std::string rows;
   for (const DiscoveryEntry& e : entries_) {
     if (e.version <= since) continue;
     rows += (rows.empty() ? "" : ",") + entryText(dispatcher, e);
-    EndpointState& notified = notifiedStates_[static_cast<std::size_t>(dispatcher)][e.endpoint];
-    if (notified == e.state) continue;
-    notified = e.state;
-    trace_.events.push_back({.at = clock_.now(),
-                             .type = TraceEventType::endpointStateNotified,
-                             .endpoint = e.endpoint,
-                             .dispatcher = static_cast<std::uint16_t>(dispatcher),
-                             .status = static_cast<std::int16_t>(e.state)});
+    recordNotified(dispatcher, e);
   }
   std::string body =
       R"({"version":)" + std::to_string(version_) + R"(,"full":false,"servers":[)" + rows + "]}";
@@ -163,8 +167,7 @@
   std::string since = parameter(request.target, "since");
   if (since.empty()) {
     std::string body = endpointList(location.dispatcher);
-    for (const DiscoveryEntry& e : entries_)
-      notifiedStates_[static_cast<std::size_t>(location.dispatcher)][e.endpoint] = e.state;
+    for (const DiscoveryEntry& e : entries_) recordNotified(location.dispatcher, e);
     return connection.respond(responseHead(200, body.size()) + body);
   }
   auto from = static_cast<std::int64_t>(parseWholeNumber(since).value_or(0));
--- a/src/lab/emulated_servers.h
+++ b/src/lab/emulated_servers.h
@@ -83,6 +83,8 @@
   void updateConnectionLimit(std::uint32_t endpoint);
   void handleDiscovery(const ServerLocation& location, HttpServerConnection& connection,
                        const HttpRequest& request);
+  // Records that discovery has told a dispatcher the state of an endpoint, if it is news to it.
+  void recordNotified(int dispatcher, const DiscoveryEntry& entry);
   void answerWatch(int dispatcher, std::int64_t since, HttpServerConnection& connection);
   void publish(std::uint32_t endpoint, EndpointState state);
   void handleNotifications(HttpServerConnection& connection, const HttpRequest& request);
