Discovery: an older list after a newer one makes no draining endpoint ready again

Change: ListVersionGuard accepts no list older than the newest one of this discovery; the whole list is polled again soon. Of an outdated list only drains and removals are applied, which is safe if it is wrong. A new address starts over.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -37,12 +37,13 @@
       retrySchedule_(seed),
       stallTimeout_(drainBudget_.stallTimeout) {}
 
+bool DiscoveryClient::applyAnswer(const json& answer) { return applyList(parseEndpointList(answer, names_)); }
+
 // One unusable entry (malformed, or of a zone that the settings do not name) must not prevent all others from
 // being applied for as long as discovery lists it. So the other entries are applied, and the full list is
 // polled once to check the unusable one. If the full list has unusable entries as well, it is accepted all
 // the same.
-bool DiscoveryClient::applyAnswer(const json& answer) {
-  EndpointList list = parseEndpointList(answer, names_);
+bool DiscoveryClient::applyList(const EndpointList& list) {
   std::size_t unusable = list.unusableCount();
   bool wasRechecked = std::exchange(isRecheckingEntries_, false);
   bool isAccepted = unusable == 0 || wasRechecked;
@@ -64,6 +65,7 @@
   host_ = std::move(host);
   supersedePolls();
   request_.extent = ListExtent::full;  // versions of two servers cannot be compared
+  versions_.reset();
   retrySchedule_.reset();
   nextPollAt_ = loop_.now();
 }
@@ -134,8 +136,9 @@
     log::info("discovery.rejected", {{"after_ms", nextPollAt_ - loop_.now()}, {"kept", directory_.count()}});
     return endPoll(poll, PollEnd::rejected);
   }
+  PollEnd end{};
   try {
-    applyResponse(poll);
+    end = applyResponse(poll);
   } catch (const Error& problem) {
     log::warn("discovery.unreadable", {{"why", problem.what()}, {"kept", directory_.count()}});
     recordUnreadChange(poll);
@@ -143,21 +146,38 @@
     retryAfterFailure();
     return endPoll(poll, PollEnd::unreadable);
   }
-  endPoll(poll, PollEnd::applied);
-  supersedePolls();
+  endPoll(poll, end);
+  if (end == PollEnd::applied) supersedePolls();
 }
 
-void DiscoveryClient::applyResponse(const DiscoveryPoll& poll) {
+PollEnd DiscoveryClient::applyResponse(const DiscoveryPoll& poll) {
   const HttpClientConnection& connection = poll.connection();
   if (connection.status() != kStatusOk)
     throw ParseError("the response status is not 200 but " + std::to_string(connection.status()));
   const json answer = json::parse(connection.body(), nullptr, false);
   if (answer.is_discarded()) throw ParseError("the response body is not JSON");
-  if (!applyAnswer(answer)) return retryAfterFailure();
+  const EndpointList list = parseEndpointList(answer, names_);
+  if (!versions_.accept(list.version, loop_.now())) {
+    applyLeavingEntries(list);
+    request_.extent = ListExtent::full;  // the state of what the outdated list drains may be newer
+    nextPollAt_ = loop_.now() + retrySchedule_.delayAfterUnreadFailure();
+    return PollEnd::outdated;
+  }
+  if (!applyList(list)) {
+    retryAfterFailure();
+    return PollEnd::applied;
+  }
   hasAcceptedResponse_ = true;
   retrySchedule_.reset();
   recordChangeRead(poll);
   nextPollAt_ = loop_.now();  // polling again at once continues the watch
+  return PollEnd::applied;
+}
+
+// An endpoint that leaves according to a list that cannot be used as a whole gets no further attempts: that
+// is safe even if the list is wrong.
+void DiscoveryClient::applyLeavingEntries(const EndpointList& list) {
+  directory_.applyList(leavingEntriesOf(list), EndpointDirectory::AbsentEndpoints::unchanged);
 }
 
 void DiscoveryClient::onPollBroken(DiscoveryPoll& poll, PollEnd end) {
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -10,6 +10,7 @@
 #include "discovery/discovery_log.h"
 #include "discovery/discovery_poll.h"
 #include "discovery/endpoint_directory.h"
+#include "discovery/list_version_guard.h"
 #include "discovery/retry_schedule.h"
 #include "discovery/unread_change.h"
 #include "policy/dispatch_policy.h"
@@ -66,7 +67,9 @@
   // When the next poll starts, alone or beside one that stalls; no value if it waits for the pending ones.
   std::optional<Millis> nextStartAt() const;
   void startPoll();
-  void applyResponse(const DiscoveryPoll& poll);
+  PollEnd applyResponse(const DiscoveryPoll& poll);
+  bool applyList(const EndpointList& list);
+  void applyLeavingEntries(const EndpointList& list);
   void recordUnreadChange(const DiscoveryPoll& poll);
   void recordChangeRead(const DiscoveryPoll& poll);
   void logAttemptsPaused();
@@ -89,6 +92,7 @@
   EndpointDirectory directory_;
   discovery_timing::RetrySchedule retrySchedule_;
   UnreadChange unreadChange_;
+  ListVersionGuard versions_;
 
   std::vector<std::unique_ptr<DiscoveryPoll>> polls_;  // pending, the oldest first
   std::uint64_t pollCount_{0};
--- a/src/discovery/discovery_log.cpp
+++ b/src/discovery/discovery_log.cpp
@@ -80,6 +80,7 @@
   loggedCounters_ = counters_;
   log::info("discovery.counters", {{"applied", count(PollEnd::applied)},
                                    {"rejected", count(PollEnd::rejected)},
+                                   {"outdated", count(PollEnd::outdated)},
                                    {"unreadable", count(PollEnd::unreadable)},
                                    {"no_descriptor", count(PollEnd::noDescriptor)},
                                    {"connect_failed", count(PollEnd::connectFailed)},
--- a/src/discovery/endpoint_list_parser.cpp
+++ b/src/discovery/endpoint_list_parser.cpp
@@ -89,6 +89,20 @@
   return "";
 }
 
+EndpointList leavingEntriesOf(const EndpointList& list) {
+  EndpointList leaving{list.version, ListExtent::changes, {}};
+  for (const auto& entry : list.entries) {
+    if (const auto* unusable = std::get_if<UnusableEntry>(&entry)) {
+      if (unusable->leavingState) leaving.entries.emplace_back(*unusable);
+    } else {
+      const auto& listed = std::get<ListedEndpoint>(entry);
+      if (listed.state == EndpointState::ready) continue;
+      leaving.entries.emplace_back(UnusableEntry{listed.endpoint.record.name, listed.state, ""});
+    }
+  }
+  return leaving;
+}
+
 EndpointList parseEndpointList(const json& answer, const NameTables& names) try {
   EndpointList list;
   list.version = answer.at("version").get<std::int64_t>();
--- a/src/discovery/endpoint_list_parser.h
+++ b/src/discovery/endpoint_list_parser.h
@@ -41,6 +41,10 @@
   std::string firstProblem() const;
 };
 
+// The entries of a list whose endpoints drain or are removed, as unusable ones: they change no more than the
+// state of an endpoint, and are safe to apply where the rest of the list is not.
+EndpointList leavingEntriesOf(const EndpointList& list);
+
 // Throws ParseError if the answer as a whole cannot be read. An entry that cannot be read, or has a zone or a
 // kind that the settings do not name, becomes an UnusableEntry.
 EndpointList parseEndpointList(const nlohmann::json& answer, const NameTables& names);
--- a/src/discovery/poll_end.cpp
+++ b/src/discovery/poll_end.cpp
@@ -8,6 +8,8 @@
       return "applied";
     case PollEnd::rejected:
       return "rejected";
+    case PollEnd::outdated:
+      return "outdated";
     case PollEnd::unreadable:
       return "unreadable";
     case PollEnd::noDescriptor:
--- a/src/discovery/poll_end.h
+++ b/src/discovery/poll_end.h
@@ -10,6 +10,7 @@
 enum class PollEnd {
   applied,           // its list is in use
   rejected,          // discovery is overloaded
+  outdated,          // its list is older than the one in use
   unreadable,        // the response is complete and is no endpoint list
   noDescriptor,      // this process lacked a descriptor
   connectFailed,     // discovery refused the connection
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -239,6 +239,23 @@
   ::close(first);
 }
 
+// An older list, as a cache before discovery may send it, must not make an endpoint ready again that drains.
+TEST(DiscoveryClient, AnOlderListAfterANewerOneMakesNoDrainingEndpointReady) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(41, "terminating"));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  for (int count = 0; count < 3; ++count) {
+    harness.respond(listResponse(40, "in_service"));
+    Poll poll = harness.nextPoll(kDrainGrace);
+    EXPECT_TRUE(poll.requestLine.starts_with("GET /catalog/members HTTP")) << poll.requestLine;
+    EXPECT_FALSE(harness.isReady("s-1"));
+  }
+  harness.respond(listResponse(42, "in_service"));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  EXPECT_TRUE(harness.isReady("s-1"));
+}
+
 // The wait for a connection that is not established must not last as long as a whole watch.
 TEST(DiscoveryClient, PollsAgainWhenAConnectionIsNotEstablished) {
   DiscoveryHarness harness{0};
