Discovery: a drain is acted on as soon as its entry has arrived

Cause: a list was used as a whole or not at all. Change: when a poll stalls, breaks or cannot be read, the complete entries of what has arrived (also of a part of a chunk) are searched for endpoints that drain or are removed, and these are applied, unless the version is older than the list in use. All else waits for a complete list.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -121,6 +121,7 @@
 void DiscoveryClient::startPoll() {
   bool isUnanswered = !polls_.empty() && polls_.back()->stage() == DiscoveryPoll::Stage::awaitingResponse;
   if (isUnanswered && unreadChange_.recordUnanswered()) return closeUnreadChange("discovery tells no change");
+  for (const auto& poll : polls_) applyLeavingEntriesOf(*poll);
   if (!polls_.empty()) stallTimeout_ = std::min(2 * stallTimeout_, kMaxStallTimeout);
   if (polls_.size() == kMaxPolls) endPoll(*polls_.back(), PollEnd::superseded);
   polls_.push_back(std::make_unique<DiscoveryPoll>(loop_, *this, ++pollCount_, request_));
@@ -142,6 +143,7 @@
   } catch (const Error& problem) {
     log::warn("discovery.unreadable", {{"why", problem.what()}, {"kept", directory_.count()}});
     recordUnreadChange(poll);
+    applyLeavingEntriesOf(poll);
     request_.extent = ListExtent::full;
     retryAfterFailure();
     return endPoll(poll, PollEnd::unreadable);
@@ -180,10 +182,20 @@
   directory_.applyList(leavingEntriesOf(list), EndpointDirectory::AbsentEndpoints::unchanged);
 }
 
+// Applies what can be read of a response that is incomplete or malformed. A later poll may not be answered in
+// time.
+void DiscoveryClient::applyLeavingEntriesOf(const DiscoveryPoll& poll) {
+  const HttpClientConnection& connection = poll.connection();
+  if (connection.status() != kStatusOk) return;
+  std::optional<EndpointList> list = parsePartialEndpointList(connection.partialBody());
+  if (list && !versions_.isOutdated(list->version)) applyLeavingEntries(*list);
+}
+
 void DiscoveryClient::onPollBroken(DiscoveryPoll& poll, PollEnd end) {
   if (poll.connection().hasReceived()) logUnreadable(poll);
   // The end of a response that had begun earlier shows nothing new.
   if (poll.stage() != DiscoveryPoll::Stage::readingResponse) recordUnreadChange(poll);
+  applyLeavingEntriesOf(poll);
   retryAfterFailure();
   endPoll(poll, end);
 }
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -70,6 +70,7 @@
   PollEnd applyResponse(const DiscoveryPoll& poll);
   bool applyList(const EndpointList& list);
   void applyLeavingEntries(const EndpointList& list);
+  void applyLeavingEntriesOf(const DiscoveryPoll& poll);
   void recordUnreadChange(const DiscoveryPoll& poll);
   void recordChangeRead(const DiscoveryPoll& poll);
   void logAttemptsPaused();
--- a/src/discovery/endpoint_list_parser.cpp
+++ b/src/discovery/endpoint_list_parser.cpp
@@ -89,6 +89,29 @@
   return "";
 }
 
+std::optional<EndpointList> parsePartialEndpointList(std::string_view text) {
+  constexpr int kMemberDepth = 1;  // of the members of the answer
+  constexpr int kEntryDepth = 2;   // of the entries of its list
+  EndpointList list;
+  bool hasVersion = false;
+  std::string member;
+  auto visit = [&](int depth, json::parse_event_t event, json& parsed) {
+    if (depth == kMemberDepth && event == json::parse_event_t::key) member = parsed.get<std::string>();
+    if (depth == kMemberDepth && event == json::parse_event_t::value && member == "version") {
+      hasVersion = parsed.is_number_integer();
+      if (hasVersion) list.version = parsed.get<std::int64_t>();
+    }
+    if (depth == kEntryDepth && event == json::parse_event_t::object_end && member == "servers") {
+      list.entries.emplace_back(readUnusableEntry(parsed, "the list ends early"));
+    }
+    return true;
+  };
+  constexpr bool kThrowExceptions = false;
+  const json discarded = json::parse(text, visit, kThrowExceptions);
+  if (!hasVersion) return std::nullopt;
+  return list;
+}
+
 EndpointList leavingEntriesOf(const EndpointList& list) {
   EndpointList leaving{list.version, ListExtent::changes, {}};
   for (const auto& entry : list.entries) {
--- a/src/discovery/endpoint_list_parser.h
+++ b/src/discovery/endpoint_list_parser.h
@@ -4,6 +4,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -45,6 +46,10 @@
 // state of an endpoint, and are safe to apply where the rest of the list is not.
 EndpointList leavingEntriesOf(const EndpointList& list);
 
+// The entries, as UnusableEntry, of an answer whose text ends early or is malformed after them. No value if
+// the answer ends before its version.
+std::optional<EndpointList> parsePartialEndpointList(std::string_view text);
+
 // Throws ParseError if the answer as a whole cannot be read. An entry that cannot be read, or has a zone or a
 // kind that the settings do not name, becomes an UnusableEntry.
 EndpointList parseEndpointList(const nlohmann::json& answer, const NameTables& names);
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -112,6 +112,8 @@
   int status() const { return parser_.status(); }
   std::string_view header(std::string_view name) const { return parser_.header(received_, name); }
   std::string_view body() const { return parser_.body(received_); }
+  // The part of the body that has arrived, of a response that need not be complete.
+  std::string partialBody() const { return parser_.partialBody(received_); }
 
   void onEvents(std::uint32_t events) override;
 
--- a/src/net/http_response_parser.cpp
+++ b/src/net/http_response_parser.cpp
@@ -254,4 +254,17 @@
   return isChunked_ ? std::string_view(decodedBody_) : bytes.substr(bodyStart_, bodyLength_);
 }
 
+std::string HttpResponseParser::partialBody(std::string_view bytes) const {
+  if (bodyStart_ == 0 || bodyStart_ > bytes.size()) return "";
+  if (!isChunked_) return std::string(bytes.substr(bodyStart_, extendsToEnd_ ? bytes.npos : bodyLength_));
+  return decodedBody_ + std::string(partOfNextChunk(bytes));
+}
+
+std::string_view HttpResponseParser::partOfNextChunk(std::string_view bytes) const {
+  std::size_t lineEnd = bytes.find('\n', nextChunk_);
+  if (lineEnd == std::string_view::npos) return {};
+  std::optional<std::size_t> size = parseChunkSize(bytes.substr(nextChunk_, lineEnd - nextChunk_));
+  return size ? bytes.substr(lineEnd + 1, *size) : std::string_view{};
+}
+
 }  // namespace stonewing
--- a/src/net/http_response_parser.h
+++ b/src/net/http_response_parser.h
@@ -34,6 +34,8 @@
   // The body of a complete response. It refers to `bytes`, or to the parser's memory if the body is
   // chunked.
   std::string_view body(std::string_view bytes) const;
+  // The part of the body that has arrived, of a response that need not be complete; empty if the head is not.
+  std::string partialBody(std::string_view bytes) const;
   // The length of the complete response in bytes. Any bytes after it belong to no request.
   std::size_t length() const { return end_; }
   // The minimum length of the whole response in bytes, as far as its head announces it.
@@ -49,6 +51,8 @@
   void skipInterimResponse();
   Progress parseChunks(std::string_view bytes);
   Progress parseTrailers(std::string_view bytes, std::size_t position);
+  // The data of the chunk that has not arrived completely.
+  std::string_view partOfNextChunk(std::string_view bytes) const;
 
   // Positions in the caller's bytes.
   std::size_t start_{0};         // of the status line; moves past interim responses
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -192,6 +192,29 @@
   EXPECT_FALSE(harness.isReady("s-1"));
 }
 
+// An entry that has arrived must not wait for the rest of its list.
+TEST(DiscoveryClient, ADrainIsActedOnAlthoughTheListBehindItDoesNotArrive) {
+  for (bool isChunked : {false, true}) {
+    DiscoveryHarness harness;
+    ASSERT_NE(harness.nextPoll(500).requestLine, "");
+    harness.respond(listResponse(1));
+    ASSERT_NE(harness.nextPoll(500).requestLine, "");
+    std::string drain = listResponse(2, "terminating");
+    std::string body = drain.substr(drain.find("{")) + " ";
+    std::string entries = body.substr(0, body.rfind("]")) + ",";
+    Millis writtenAt = harness.loop.now();
+    harness.respond(isChunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n" + entries
+                              : "HTTP/1.1 200 OK\r\nContent-Length: 4095\r\n\r\n" + entries);
+    int stalled = std::exchange(harness.connection, -1);
+    ASSERT_TRUE(eventually(2 * kDrainGrace, [&] {
+      harness.turn();
+      return !harness.isReady("s-1");
+    }));
+    EXPECT_LT(harness.loop.now() - writtenAt, kDrainGrace);
+    ::close(stalled);
+  }
+}
+
 // Polls that discovery leaves unanswered, as it does with nothing to tell, must not be repeated for long.
 TEST(DiscoveryClient, PollsAsBeforeOnceDiscoveryHasNothingToTellAfterACutAnswer) {
   DiscoveryHarness harness;
