Discovery: after older troubles, polls for an unread change begin with short delays again

Cause: the delays go on from the last one, so that the first polls for an unread change, or after an outdated list, were 0.26 s apart. Change: both begin with the shortest delay. Refused polls for an unread change are at most 0.6 s apart on average instead of 1.8 s, since attempts are paused meanwhile.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -162,6 +162,7 @@
   if (!versions_.accept(list.version, loop_.now())) {
     applyLeavingEntries(list);
     request_.extent = ListExtent::full;  // the state of what the outdated list drains may be newer
+    if (versions_.isFirstOutdated()) retrySchedule_.reset();
     nextPollAt_ = loop_.now() + retrySchedule_.delayAfterUnreadFailure();
     return PollEnd::outdated;
   }
@@ -216,6 +217,7 @@
   Evidence evidence = poll.isAnsweredAtWatchTimeout() ? Evidence::possible : Evidence::certain;
   if (unreadChange_.recordBegun(loop_.now(), evidence)) {
     policy_.recordUnreadListChange(loop_.now());
+    retrySchedule_.reset();
     log_.changeUnread(poll.number(), connection.received().size(), evidence);
   }
 }
--- a/src/discovery/list_version_guard.h
+++ b/src/discovery/list_version_guard.h
@@ -17,6 +17,8 @@
   bool accept(std::int64_t version, Millis now);
   // Versions of another discovery cannot be compared with those before.
   void reset() { *this = {}; }
+  // Whether the list read last was the first outdated one after others.
+  bool isFirstOutdated() const { return outdatedCount_ == 1; }
   // Whether a list of that version is older than the one accepted last.
   bool isOutdated(std::int64_t version) const { return newest_ && version < *newest_; }
 
--- a/src/discovery/retry_schedule.h
+++ b/src/discovery/retry_schedule.h
@@ -45,6 +45,7 @@
 constexpr Millis kMinUnreadRetryDelay = 15;
 constexpr Millis kMaxUnreadRetryDelay = 200;
 constexpr Millis kMinUnreadRejectionDelay = 75;
+constexpr Millis kMaxUnreadRejectionDelay = 600;
 // A poll without an answer for this long, while a change is known, shows that discovery does not tell it.
 constexpr Millis kUnreadAnswerTimeout = 150;
 // Delays are multiplied by a random factor from 1 - kDelaySpread to 1 + kDelaySpread.
@@ -76,7 +77,7 @@
     return nextDelay(kUnreadGrowth, kMinUnreadRetryDelay, kMaxUnreadRetryDelay);
   }
   Millis delayAfterUnreadRejection() {
-    return nextDelay(kDoubling, kMinUnreadRejectionDelay, kRejectionDelay);
+    return nextDelay(kDoubling, kMinUnreadRejectionDelay, kMaxUnreadRejectionDelay);
   }
   // To be called after a successful poll or a change of address: delays begin at the shortest again.
   void reset() { delay_ = 0; }
