Attempts decided before a stall ask for the endpoint's state again, with the list read first

Cause: an attempt is decided, then recorded; after a slow write the policy was asked again, but the list that had arrived meanwhile lay unread in its socket. After a suspension a connection could be reported, and its request written, before the list as well. Change: after such a delay DiscoveryClient::readPending() applies what has arrived before any request is written, and after a stall before any event is handled.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -86,6 +86,19 @@
   logAttemptsPaused();
 }
 
+// A poll whose response is read may end, and other polls with it.
+void DiscoveryClient::readPending() {
+  std::uint64_t lastRead = 0;
+  for (bool isAnyUnread = true; isAnyUnread;) {
+    auto unread = std::find_if(polls_.begin(), polls_.end(),
+                               [lastRead](const auto& poll) { return poll->number() > lastRead; });
+    isAnyUnread = unread != polls_.end();
+    if (!isAnyUnread) continue;
+    lastRead = (*unread)->number();
+    (*unread)->readPending();
+  }
+}
+
 void DiscoveryClient::logAttemptsPaused() {
   const bool arePaused = !policy_.mayBeginAttempts();
   if (std::exchange(areAttemptsPaused_, arePaused) == arePaused) return;
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -43,6 +43,9 @@
 
   // Starts a poll that is due, or ends a poll that has timed out.
   void onTick();
+  // Applies what discovery has sent since the last turn. For use after this process was held up, before it
+  // acts on decisions that are older.
+  void readPending();
   // The time (steady clock) from which onTick() has something to do.
   Millis due() const;
   // Whether an answer to a poll has been accepted since the start. Before that, the endpoints may come from
--- a/src/discovery/discovery_poll.h
+++ b/src/discovery/discovery_poll.h
@@ -43,6 +43,9 @@
   // `host`: the address for the Host header.
   std::optional<PollEnd> start(const sockaddr_in& address, const std::string& host);
 
+  // Reads bytes that have arrived since the last read. This can end the poll.
+  void readPending() { connection_->readPending(); }
+
   std::uint64_t number() const { return number_; }
   const PollRequest& request() const { return request_; }
   Stage stage() const;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -57,7 +57,7 @@
                 return commandHandler_.handle(words, clientHasClosed ? ClientSide::closed : ClientSide::open);
               }),
       signals_(loop_),
-      committer_({loop_, policy_, admission_, store_, sender_, server_, journalWrites_}),
+      committer_({loop_, policy_, admission_, store_, discovery_, sender_, server_, journalWrites_}),
       decisions_(policy_, sender_, store_),
       reloader_(config_, std::move(source), discovery_, notifier_),
       zoneHealthLog_(names_.zones) {
@@ -85,6 +85,8 @@
   policy_.beginRound(loop_.now());
   if (decisions_.takeDueTimer(loop_.now())) policy_.recordTimerFired();
   turnMonitor_.beginTurn();
+  // After a stall, a connection may be reported before the list that says that its endpoint drains.
+  if (loop_.stalledFor() > 0) discovery_.readPending();
   loop_.dispatch();
   turnMonitor_.recordDispatched();
   if (signals_.takeReloadRequest()) reloader_.reload();
--- a/src/dispatcher/journal_committer.cpp
+++ b/src/dispatcher/journal_committer.cpp
@@ -13,7 +13,7 @@
 constexpr Millis kCommitWait = 5;
 // If the time of the turn is older than this, the clock is read again before requests are sent. Without this,
 // after a write that hung in the loop or after long decisions, the timeouts of requests would count from an
-// outdated time.
+// outdated time, and they could go to endpoints that have begun to drain meanwhile.
 constexpr Millis kMaxTimeAge = 5;
 constexpr Millis kNoWait = 0;
 
@@ -30,6 +30,7 @@
       policy_(dependencies.policy),
       admission_(dependencies.admission),
       store_(dependencies.store),
+      discovery_(dependencies.discovery),
       sender_(dependencies.sender),
       server_(dependencies.server),
       journalWrites_(dependencies.journalWrites) {
@@ -51,7 +52,10 @@
 
 void JournalCommitter::executeCommitted() {
   cancelLostMessages();
-  if (loop_.refreshTime(kMaxTimeAge)) policy_.beginRound(loop_.now());
+  if (loop_.refreshTime(kMaxTimeAge)) {
+    policy_.beginRound(loop_.now());
+    discovery_.readPending();
+  }
   sender_.sendBatches();
   server_.sendReplies([this](MessageId id) { return store_.isAcceptanceDecided(id); },
                       [this](MessageId id) { return replacementReply(id); });
--- a/src/dispatcher/journal_committer.h
+++ b/src/dispatcher/journal_committer.h
@@ -6,6 +6,7 @@
 
 #include "admission/admission_controller.h"
 #include "delivery/attempt_sender.h"
+#include "discovery/discovery_client.h"
 #include "dispatcher/journal_write_monitor.h"
 #include "net/event_loop.h"
 #include "net/loop_registration.h"
@@ -43,6 +44,7 @@
     DispatchPolicy& policy;
     AdmissionController& admission;
     MessageStore& store;
+    DiscoveryClient& discovery;
     AttemptSender& sender;
     RespServer& server;
     JournalWriteMonitor& journalWrites;
@@ -65,6 +67,7 @@
   DispatchPolicy& policy_;
   AdmissionController& admission_;
   MessageStore& store_;
+  DiscoveryClient& discovery_;
   AttemptSender& sender_;
   RespServer& server_;
   JournalWriteMonitor& journalWrites_;
