Discovery: a watch that ends before its first byte may have been about to tell a change

Cause: only bytes counted as evidence; a connection that discovery or a machine before it ends is evidence too, though weak. Change: such an end opens a possible change, which one later poll refutes that is unanswered, rejected or cannot connect: so a restart of discovery pauses nothing and is polled as rarely as before. The end of a watch beside a newer one is no evidence.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -146,6 +146,7 @@
 void DiscoveryClient::onPollResponse(DiscoveryPoll& poll) {
   const HttpClientConnection& connection = poll.connection();
   if (connection.status() == kStatusServiceUnavailable) {  // discovery is overloaded; the version stays valid
+    recordUnreachable();
     nextPollAt_ = loop_.now() + rejectionDelay();
     log::info("discovery.rejected", {{"after_ms", nextPollAt_ - loop_.now()}, {"kept", directory_.count()}});
     return endPoll(poll, PollEnd::rejected);
@@ -207,9 +208,20 @@
 
 void DiscoveryClient::onPollBroken(DiscoveryPoll& poll, PollEnd end) {
   if (poll.connection().hasReceived()) logUnreadable(poll);
-  // The end of a response that had begun earlier shows nothing new.
-  if (poll.stage() != DiscoveryPoll::Stage::readingResponse) recordUnreadChange(poll);
   applyLeavingEntriesOf(poll);
+  switch (end) {
+    case PollEnd::connectFailed:
+    case PollEnd::connectTimedOut:
+      recordUnreachable();
+      break;
+    case PollEnd::endedByDiscovery:
+    case PollEnd::malformed:
+      // The end of a response that had begun earlier shows nothing new.
+      if (poll.stage() == DiscoveryPoll::Stage::awaitingResponse) recordUnreadChange(poll);
+      break;
+    default:
+      break;
+  }
   retryAfterFailure();
   endPoll(poll, end);
 }
@@ -221,13 +233,16 @@
                                      {"kept", directory_.count()}});
 }
 
-// A response of another status, or without any byte, tells no change.
+// A response of another status tells no change.
 void DiscoveryClient::recordUnreadChange(const DiscoveryPoll& poll) {
   const HttpClientConnection& connection = poll.connection();
   bool mayBeList = connection.status() == kStatusUnknown || connection.status() == kStatusOk;
-  if (!connection.hasReceived() || !mayBeList) return;
+  // Discovery may end a watch when another one begins beside it.
+  bool isReplaced = !connection.hasReceived() && polls_.size() > 1;
+  if (!mayBeList || isReplaced) return;
   using Evidence = UnreadChange::Evidence;
-  Evidence evidence = poll.isAnsweredAtWatchTimeout() ? Evidence::possible : Evidence::certain;
+  bool isCertain = connection.hasReceived() && !poll.isAnsweredAtWatchTimeout();
+  Evidence evidence = isCertain ? Evidence::certain : Evidence::possible;
   if (unreadChange_.recordBegun(loop_.now(), evidence)) {
     policy_.recordUnreadListChange(loop_.now());
     retrySchedule_.reset();
@@ -242,6 +257,12 @@
   stallTimeout_ = drainBudget_.stallTimeout;
 }
 
+void DiscoveryClient::recordUnreachable() {
+  if (!unreadChange_.recordUnreachable()) return;
+  policy_.recordListChangeRead();
+  stallTimeout_ = drainBudget_.stallTimeout;
+}
+
 void DiscoveryClient::closeUnreadChange(const char* why) {
   policy_.recordListChangeRead();
   log::warn("discovery.change_dropped", {{"why", why}, {"kept", directory_.count()}});
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -75,6 +75,7 @@
   void applyLeavingEntries(const EndpointList& list);
   void applyLeavingEntriesOf(const DiscoveryPoll& poll);
   void recordUnreadChange(const DiscoveryPoll& poll);
+  void recordUnreachable();
   void recordChangeRead(const DiscoveryPoll& poll);
   void logAttemptsPaused();
   // No poll has shown a change for so long that it is no longer waited for.
--- a/src/discovery/unread_change.cpp
+++ b/src/discovery/unread_change.cpp
@@ -17,8 +17,10 @@
 
 bool UnreadChange::recordBegun(Millis now, Evidence evidence) {
   if (hasExpired_) return false;
-  if (evidence == Evidence::certain) evidence_ = Evidence::certain;
-  unansweredPolls_ = 0;
+  if (evidence == Evidence::certain) {
+    evidence_ = Evidence::certain;
+    unansweredPolls_ = 0;
+  }
   if (begunAt_.size() < kMaxResponses) begunAt_.push_back(now);
   return begunAt_.size() == 1;
 }
@@ -32,6 +34,12 @@
   return true;
 }
 
+bool UnreadChange::recordUnreachable() {
+  if (!isOpen() || evidence_ == Evidence::certain) return false;
+  *this = {};
+  return true;
+}
+
 void UnreadChange::recordRead(Millis responseBegunAt) {
   std::erase_if(begunAt_, [responseBegunAt](Millis begunAt) { return begunAt <= responseBegunAt; });
   hasExpired_ = false;
--- a/src/discovery/unread_change.h
+++ b/src/discovery/unread_change.h
@@ -14,8 +14,11 @@
  public:
   // What the beginning of a response shows.
   enum class Evidence {
-    possible,  // the watch had timed out, so the response may tell that nothing has changed
-    certain,   // discovery answers a poll at once only if it has something to tell
+    // The watch had timed out, so the response may tell that nothing has changed; or the connection ended
+    // before
+    // the first byte.
+    possible,
+    certain,  // discovery answers a poll at once only if it has something to tell
   };
 
   // A response has begun and is incomplete. Returns whether this opens a change.
@@ -23,6 +26,9 @@
   // A later poll remains without an answer, although discovery answers at once if it has a change to tell.
   // Returns whether this was the last piece of evidence needed, and the change is closed.
   bool recordUnanswered();
+  // Discovery rejected a later poll or cannot be reached, which refutes a possible change: a fleet must not
+  // stop sending where discovery restarts. Returns whether the change is closed by that.
+  bool recordUnreachable();
   // A list was read completely. Responses that began later than its own remain unread: they may tell more.
   void recordRead(Millis responseBegunAt);
   // Closes a change that could not be read for longer than kMaxNotificationDelay. Another one does not open
--- a/src/lab/wire_faults.cpp
+++ b/src/lab/wire_faults.cpp
@@ -16,10 +16,10 @@
 constexpr std::string_view kLengthHeader = "Content-Length: ";
 constexpr std::uint64_t kOverstatedBytes = 10;
 
-// The first `share` of a response, at least one byte of it.
+// The first `share` of a response.
 std::string partOf(const std::string& response, double share) {
   auto length = static_cast<std::size_t>(std::ceil(share * static_cast<double>(response.size())));
-  return response.substr(0, std::max<std::size_t>(1, length));
+  return response.substr(0, length);
 }
 
 // Whether a fault of this kind replaces, delays or adds writes of a response.
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -192,6 +192,34 @@
   EXPECT_FALSE(harness.isReady("s-1"));
 }
 
+// A connection may end before the first byte of the news.
+TEST(DiscoveryClient, AnswersCutBeforeTheirFirstByteDoNotHoldBackADrainPastTheGrace) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  Millis writtenAt = harness.loop.now();
+  for (int cut = 0; cut < 5; ++cut) {
+    ::shutdown(harness.connection, SHUT_WR);
+    ASSERT_NE(harness.nextPoll(kDrainGrace).requestLine, "");
+  }
+  EXPECT_LT(harness.loop.now() - writtenAt, kDrainGrace);
+}
+
+// The fleet goes on while discovery restarts: watches end, and polls are rejected for a while.
+TEST(DiscoveryClient, ARestartOfDiscoveryPausesNoAttemptsAndIsNotFlooded) {
+  DiscoveryHarness harness;
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  ::shutdown(harness.connection, SHUT_WR);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(httpResponse(503, ""));
+  Poll poll = harness.nextPoll(6000);
+  EXPECT_GE(poll.after, 800);
+  EXPECT_TRUE(harness.policy.mayBeginAttempts());
+}
+
 // An entry that has arrived must not wait for the rest of its list.
 TEST(DiscoveryClient, ADrainIsActedOnAlthoughTheListBehindItDoesNotArrive) {
   for (bool isChunked : {false, true}) {
--- a/tests/discovery/unread_change_test.cpp
+++ b/tests/discovery/unread_change_test.cpp
@@ -44,6 +44,17 @@
   EXPECT_TRUE(certain.recordUnanswered());
 }
 
+// A fleet must not pause where discovery restarts: its watches end, and polls are refused for a while.
+TEST(UnreadChange, AnUnreachableDiscoveryRefutesAPossibleChangeAndNotACertainOne) {
+  UnreadChange change;
+  change.recordBegun(100, Evidence::possible);
+  EXPECT_TRUE(change.recordUnreachable());
+  EXPECT_FALSE(change.isOpen());
+  change.recordBegun(200, Evidence::certain);
+  EXPECT_FALSE(change.recordUnreachable());
+  EXPECT_TRUE(change.isOpen());
+}
+
 TEST(UnreadChange, ExpiresAndDoesNotOpenAgainUntilAListIsRead) {
   UnreadChange change;
   change.recordBegun(100, Evidence::certain);
