Discovery: a change that answers go on telling is waited for up to 12 s

Cause: the pause ended 6 s after the first answer that could not be read, although further ones had begun until then. Change: it ends 6 s after the last one, 12 s after the first at most. Bound: twice the time within which a change counts as notified in any case; a list that can never be read must not stop a dispatcher for good.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -79,7 +79,7 @@
 
 void DiscoveryClient::onTick() {
   log_.logCounters(loop_.now());
-  if (unreadChange_.closeIfExpired(loop_.now())) closeUnreadChange("no poll could be read");
+  if (unreadChange_.closeIfExpired(loop_.now())) closeUnreadChange("no answer could be read");
   endTimedOutPolls();
   std::optional<Millis> startAt = nextStartAt();
   if (startAt && loop_.now() >= *startAt) startPoll();
--- a/src/discovery/unread_change.cpp
+++ b/src/discovery/unread_change.cpp
@@ -1,5 +1,6 @@
 #include "discovery/unread_change.h"
 
+#include <algorithm>
 #include <cstddef>
 
 #include "discovery/retry_schedule.h"
@@ -10,8 +11,10 @@
 // So many polls without an answer show that discovery has nothing to tell, or has fallen silent.
 constexpr int kUnansweredIfPossible = 1;
 constexpr int kUnansweredIfCertain = 4;
-// More responses cannot begin until the first of them expires, as far as they matter here.
-constexpr std::size_t kMaxResponses = 64;
+// Responses may go on beginning for this long without one that can be read.
+constexpr Millis kMaxUnreadDuration = 2 * discovery_timing::kMaxNotificationDelay;
+// More responses than polls can start in that time.
+constexpr std::size_t kMaxResponses = 256;
 
 }  // namespace
 
@@ -61,7 +64,8 @@
 
 std::optional<Millis> UnreadChange::expiresAt() const {
   if (!isOpen()) return std::nullopt;
-  return begunAt_.front() + discovery_timing::kMaxNotificationDelay;
+  return std::min(begunAt_.back() + discovery_timing::kMaxNotificationDelay,
+                  begunAt_.front() + kMaxUnreadDuration);
 }
 
 }  // namespace stonewing
--- a/src/dispatcher/descriptor_budget.cpp
+++ b/src/dispatcher/descriptor_budget.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 // Three standard streams, epoll, signals, the listener, the journal and its compaction, the background
-// writer's eventfd, discovery, the platform, one connection that is being accepted, and two in reserve.
+// writer's eventfd, two polls of discovery, the platform, one connection that is being accepted, and one in
+// reserve.
 constexpr std::size_t kMinInternalDescriptors = 14;
 constexpr std::size_t kMaxInternalDescriptors = 32;
 constexpr std::size_t kMinDescriptors = 2 * kMinInternalDescriptors;
--- a/src/net/http_response_parser.cpp
+++ b/src/net/http_response_parser.cpp
@@ -256,7 +256,7 @@
 
 std::string HttpResponseParser::partialBody(std::string_view bytes) const {
   if (bodyStart_ == 0 || bodyStart_ > bytes.size()) return "";
-  if (!isChunked_) return std::string(bytes.substr(bodyStart_, extendsToEnd_ ? bytes.npos : bodyLength_));
+  if (!isChunked_) return std::string(bytes.substr(bodyStart_, bodyLength_));
   return decodedBody_ + std::string(partOfNextChunk(bytes));
 }
 
--- a/tests/discovery/unread_change_test.cpp
+++ b/tests/discovery/unread_change_test.cpp
@@ -55,6 +55,14 @@
   EXPECT_TRUE(change.isOpen());
 }
 
+// While discovery goes on telling that there is a change, the change is waited for, but not for ever.
+TEST(UnreadChange, IsWaitedForLongerWhileResponsesGoOnBeginning) {
+  UnreadChange change;
+  Millis now = 0;
+  for (; !change.closeIfExpired(now); now += 200) change.recordBegun(now, Evidence::certain);
+  EXPECT_EQ(now, 2 * kMaxNotificationDelay);
+}
+
 TEST(UnreadChange, ExpiresAndDoesNotOpenAgainUntilAListIsRead) {
   UnreadChange change;
   change.recordBegun(100, Evidence::certain);
