Discovery: one watch is kept where several polls were under way

Cause: only the newest poll decided whether another one starts, and nothing ended the other. Change: once one poll is open as a watch and no change is unread, the others end. A log function loses a parameter that it did not use.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -81,6 +81,7 @@
   log_.logCounters(loop_.now());
   if (unreadChange_.closeIfExpired(loop_.now())) closeUnreadChange("no answer could be read");
   endTimedOutPolls();
+  supersedeRedundantPolls();
   std::optional<Millis> startAt = nextStartAt();
   if (startAt && loop_.now() >= *startAt) startPoll();
   logAttemptsPaused();
@@ -207,7 +208,7 @@
 }
 
 void DiscoveryClient::onPollBroken(DiscoveryPoll& poll, PollEnd end) {
-  if (poll.connection().hasReceived()) logUnreadable(poll);
+  if (poll.connection().hasReceived()) logUnreadable();
   applyLeavingEntriesOf(poll);
   switch (end) {
     case PollEnd::connectFailed:
@@ -228,7 +229,7 @@
 
 // Without this log line, a dispatcher that never receives a list would answer PING and reject every message
 // without any sign of the cause.
-void DiscoveryClient::logUnreadable(const DiscoveryPoll&) const {
+void DiscoveryClient::logUnreadable() const {
   log::warn("discovery.unreadable", {{"why", "the response ended early, is not HTTP/1.x or is too long"},
                                      {"kept", directory_.count()}});
 }
@@ -290,6 +291,20 @@
   std::erase_if(polls_, [&poll](const auto& pending) { return pending.get() == &poll; });
 }
 
+// Where connections take long to come up, several polls are often under way.
+void DiscoveryClient::supersedeRedundantPolls() {
+  if (polls_.size() < 2 || unreadChange_.isOpen()) return;
+  auto watch = std::find_if(polls_.begin(), polls_.end(), [](const auto& poll) {
+    return poll->stage() == DiscoveryPoll::Stage::awaitingResponse;
+  });
+  if (watch == polls_.end()) return;
+  const DiscoveryPoll* kept = watch->get();
+  while (polls_.size() > 1) {
+    const auto& redundant = polls_.front().get() == kept ? polls_.back() : polls_.front();
+    endPoll(*redundant, PollEnd::superseded);
+  }
+}
+
 void DiscoveryClient::supersedePolls() {
   while (!polls_.empty()) endPoll(*polls_.back(), PollEnd::superseded);
 }
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -85,7 +85,9 @@
   // Removes a pending poll.
   void endPoll(const DiscoveryPoll& poll, PollEnd end);
   void supersedePolls();
-  void logUnreadable(const DiscoveryPoll& poll) const;
+  // Ends the polls beside one that is open as a watch, unless a change is unread.
+  void supersedeRedundantPolls();
+  void logUnreadable() const;
 
   EventLoop& loop_;
   DispatchPolicy& policy_;
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "support/discovery_harness.h"
 
@@ -50,6 +52,31 @@
   EXPECT_LT(harness.loop.now() - began, 2300);
 }
 
+// Where connections take long to come up, discovery must not bear several watches of one dispatcher, nor
+// further connections while a watch is open.
+TEST(DiscoveryClient, KeepsOneWatchOfSeveralPollsThatWereUnderWay) {
+  DiscoveryHarness harness{0};
+  int full = connectToLoopback(localPort(harness.listener));  // fills the listener's backlog
+  Millis began = harness.loop.now();
+  while (harness.loop.now() - began < 300) harness.turn();
+  ::listen(harness.listener, 64);
+  ::close(::accept(harness.listener, nullptr, nullptr));
+  ::close(full);
+  std::vector<int> connections;
+  while (harness.loop.now() - began < 2400) {
+    harness.turn();
+    pollfd waiting{harness.listener, POLLIN, 0};
+    if (::poll(&waiting, 1, 0) > 0) connections.push_back(::accept(harness.listener, nullptr, nullptr));
+  }
+  auto isOpen = [](int connection) {
+    std::string received = receiveAvailable(connection);
+    return received.find("FIN") == std::string::npos && received.find("RST") == std::string::npos;
+  };
+  EXPECT_EQ(std::count_if(connections.begin(), connections.end(), isOpen), 1);
+  EXPECT_LE(connections.size(), 3u);
+  for (int connection : connections) ::close(connection);
+}
+
 // A change must reach the dispatcher within 6 s even if discovery is overloaded and rejects polls.
 TEST(DiscoveryClient, PollsInTimeForAChangeAfterRejectionsAndSilence) {
   DiscoveryHarness harness;
