--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -11,12 +11,12 @@
 import os
 import re
 import shutil
-import signal
 import socket
 import tempfile
 import time
 import tomllib
 from pathlib import Path
+from signal import Signals
 from typing import Any, Awaitable, Callable
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -95,7 +95,7 @@
         self.latency = 0.02
         self.answer: Answer = deliver
         self.calls: list[Call] = []
-        self.refused: list[str] = []
+        self.oversized: list[int] = []  # bytes of the bodies that were over the limit
         self.answered: dict[str, float] = {}
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -129,6 +129,7 @@
         """The messages of a request, or the answer of an endpoint that cannot use it."""
         at = now_ms()
         if len(body) > self.MAX_BODY:
+            self.oversized.append(len(body))
             return [], response("413 Content Too Large")
         if line.startswith("POST /v1/messages:batch "):
             calls = []
@@ -167,7 +168,6 @@
                 calls, refusal = self.parse(line, headers, body)
                 if refusal:
                     status = refusal.split(b"\r\n", 1)[0].decode()
-                    self.refused.append(status)
                     self.record.write(self.name, f"{line} with {len(body)} bytes of body: answered {status}")
                     writer.write(refusal)
                     await writer.drain()
@@ -317,12 +317,12 @@
         self.config["seed"] = f"{0x8C1F30D27A5BE964 + self.starts:x}"
         self.write_config()
         log = (self.folder / f"log-{self.starts}.txt").open("wb")
-        environment = {
+        environment: dict[str, str] = {
             **os.environ,
             "EDGE_CONFIG": str(self.folder / "config.json"),
-            "EDGE_NAME": self.config["name"],
-            "EDGE_LISTEN": self.config["listen"],
-            "EDGE_DISCOVERY": self.config["discovery"],
+            "EDGE_NAME": "n1",
+            "EDGE_LISTEN": str(self.config["listen"]),
+            "EDGE_DISCOVERY": str(self.config["discovery"]),
             "EDGE_STATE": str(self.state),
         }
         self.process = await asyncio.create_subprocess_exec(
@@ -355,7 +355,7 @@
             await asyncio.sleep(0.02)
         raise CouldNotRun("the dispatcher did not answer PING within 10 s")
 
-    def signal(self, number: signal.Signals) -> None:
+    def signal(self, number: Signals) -> None:
         if self.process is not None and self.process.returncode is None:
             os.kill(self.process.pid, number)
             self.record.write("dispatcher", f"{number.name}")
