--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -209,7 +209,7 @@
         self.server: asyncio.Server | None = None
         self.address = ""
         self.silent = False
-        self.told: list[tuple[float, int]] = []
+        self.given_up = 0  # requests that the dispatcher ended while discovery was silent
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
@@ -246,7 +246,7 @@
                         self.record.write("platform", f"notice {text}")
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                 elif line.startswith("GET /catalog/members"):
-                    writer.write(await self.members(line))
+                    writer.write(await self.members(line, reader))
                 else:
                     writer.write(response("404 Not Found"))
                 await writer.drain()
@@ -255,12 +255,18 @@
         finally:
             writer.close()
 
-    async def members(self, line: str) -> bytes:
+    async def while_silent(self, reader: asyncio.StreamReader) -> None:
         while self.silent:
-            await asyncio.sleep(0.02)
+            if reader.at_eof() or reader.exception() is not None:
+                self.given_up += 1
+                raise ConnectionResetError
+            await asyncio.sleep(0.002)
+
+    async def members(self, line: str, reader: asyncio.StreamReader) -> bytes:
+        """The answer to a request for the list or its changes; none while discovery is down."""
+        await self.while_silent(reader)
         match = re.search(r"since=(\d+)&timeout_ms=(\d+)", line)
         if not match:
-            self.told.append((now_ms(), self.version))
             return response("200 OK", json.dumps(self.listed()).encode())
         since = int(match[1])
         if self.version <= since:
@@ -268,11 +274,9 @@
                 await asyncio.wait_for(self.changed.wait(), int(match[2]) / 1000)
             except asyncio.TimeoutError:
                 pass
-        while self.silent:
-            await asyncio.sleep(0.02)
+        await self.while_silent(reader)
         newest = {entry["id"]: entry for version, entry in self.changes if version > since}
         answer = {"version": self.version, "full": False, "servers": list(newest.values())}
-        self.told.append((now_ms(), self.version))
         return response("200 OK", json.dumps(answer).encode())
 
 
