Review, case 1: more room between the quiet time and the second copy

The second copy now comes 73 ms behind the answer, still within the way times of the site (73 to 147 ms), so that a busy machine does not hide the case.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,8 +19,8 @@
 
 # The rooms are 110 ms apart, and times on the way vary by up to 0.34 of that: from 73 to 147 ms.
 CALL_WAY_MS = 110.0
-ANSWER_WAY_MS = 76.0
-COPY_WAY_MS = 145.0
+ANSWER_WAY_MS = 74.0
+COPY_WAY_MS = 147.0
 PARTNERS = 5
 OTHERS = 2  # messages to each other partner
 SILENT_MS = 8000
