Review: settings of the cases as at their deployments

Probes, drain grace, connect time-out and the figures of the cold return now follow the deployments that the claims name.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -93,7 +93,13 @@
     platform.add(link, *endpoints[1:])
     folder = scratch / f"round-{round_number}"
     folder.mkdir()
-    deployment = settings(lamp_status(), kinds=["town-works"], zones=["server-room", "office"])
+    deployment = settings(
+        lamp_status(),
+        kinds=["town-works"],
+        zones=["server-room", "office"],
+        limits={"conn-idle-s": 15.0, "connect-timeout-s": 1.5},
+        rules={"cold-from": 0.17, "cold-s": 14.0, "fall-multiple": 2.5},
+    )
     dispatcher = Dispatcher(record, folder, platform, deployment)
     taken: dict[str, float] = {}
     try:
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 is needed"; import tomllib'
-python3 -m py_compile rig/*.py */case.py
+python3 -m py_compile ./rig/*.py ./*/case.py
