Delivery: a response that comes too early is not confirmed by the silence of its endpoint

Cause: a 200 on a kept connection was confirmed when no unexpected bytes contradicted it in time. An endpoint that hangs contradicts nothing. The debug log of the case shows the copy 13 ms after the request of message 2, at an endpoint whose only response had taken 286 ms; no response.taken_back, no notification.sent.

Change: ResponsePlausibility knows how soon each endpoint responds and which request it answered last. A response by order alone in under a quarter of the shortest time is confirmed only by a response to a later request; else its outcome is taken back, its connection rests until then, and kept connections are used again once the endpoint has responded. The same for early rejections of messages that may not run twice, and for health checks. The log says when a response is confirmed or stays unconfirmed.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -18,6 +18,12 @@
   return static_cast<EndpointConnection&>(httpConnection);  // the pool creates no other type
 }
 
+// The first response on a connection can only belong to its request. Any later one may be the repeat of an
+// earlier response.
+ResponseProof proofOf(const EndpointConnection& connection) {
+  return connection.exchangeCount() == 1 ? ResponseProof::certain : ResponseProof::byOrderAlone;
+}
+
 }  // namespace
 
 AttemptSender::AttemptSender(EventLoop& loop, DispatchPolicy& policy, MessageStore& store,
@@ -134,6 +140,7 @@
 // Composes the request of the attempts that the connection carries at this time. Must be called only once the
 // connection is established, since attempts may be cancelled until then.
 void AttemptSender::writeRequest(EndpointConnection& connection) {
+  connection.setWrittenAt(loop_.now());
   Millis latestTimeout = loop_.now();
   std::vector<const StoredMessage*> messages;
   for (const BatchedAttempt& attempt : connection.attempts()) {
@@ -157,6 +164,7 @@
   connection.setSentAt(loop_.now());
   if (!connection.hasFailedToStart()) {
     addHealthCheckRequest(connection, target->authority);
+    connection.setWrittenAt(loop_.now());
     connection.startExchange();
   }
   pool_.update(connection);
@@ -283,38 +291,64 @@
 void AttemptSender::onResponse(HttpClientConnection& httpConnection) {
   EndpointConnection& connection = endpointConnection(httpConnection);
   pool_.recordUse(connection);
-  bool isOutOfStep = !connection.unexpectedBytes().empty() || namesNoMessage(connection);
+  const ResponseArrival arrival = arrivalOf(connection);
+  const bool isOutOfStep = !connection.unexpectedBytes().empty() || namesNoMessage(connection);
+  const bool isTooEarly = proofOf(connection) == ResponseProof::byOrderAlone &&
+                          policy_.isResponseTooEarly(connection.endpoint(), arrival);
+  if (!isOutOfStep) policy_.recordResponse(connection.endpoint(), arrival, proofOf(connection));
   if (connection.isHealthCheck()) {
-    finishHealthCheck(connection, healthCheckOutcome(connection.status()),
-                      recorder_.loadReportOf(connection));
+    AttemptOutcome outcome =
+        isTooEarly ? AttemptOutcome::unattributed : healthCheckOutcome(connection.status());
+    finishHealthCheck(connection, outcome, recorder_.loadReportOf(connection));
   } else {
-    recordResponse(connection, isOutOfStep);
+    if (isRequestUnreadable(connection.status())) log_.requestUnreadable(connection);
+    if (isOutOfStep) {
+      recordOutOfStepResponse(connection);
+    } else {
+      recordResponse(connection, arrival);
+    }
     connection.setConfirmedAt(confirmer_.confirmedAt(connection));
   }
   if (isOutOfStep) handleUnexpectedBytes(connection, connection.unexpectedBytes());
   connection.clearRequest();
   if (isOutOfStep) return release(connection, CloseCause::unexpectedBytes);
   if (!connection.isOpen()) return release(connection, CloseCause::endedByResponse);
+  // Until the response is confirmed, the true one may still come.
+  if (isTooEarly) connection.holdUntil(connection.confirmedAt());
   if (!policy_.quietBeforeReuse(connection.endpoint())) {
     return pool_.closeIdleConnection(connection, CloseCause::notTrusted);
   }
   pool_.update(connection);
 }
 
-// The first response on a connection can only belong to its request. Any later one may be the repeat of an
-// earlier response. One that shows the connection to be out of step proves nothing.
-void AttemptSender::recordResponse(EndpointConnection& connection, bool isOutOfStep) {
-  if (isRequestUnreadable(connection.status())) log_.requestUnreadable(connection);
-  bool isFirst = connection.exchangeCount() == 1;
+// The time during which the process was stopped may have passed after the response had arrived.
+ResponseArrival AttemptSender::arrivalOf(const EndpointConnection& connection) const {
+  Millis passed = loop_.now() - connection.writtenAt() - loop_.stalledFor();
+  return {.requestWrittenAt = connection.writtenAt(),
+          .responseTime = std::max(0.0, passed),
+          .isDelivery = isDelivery(connection)};
+}
+
+void AttemptSender::recordResponse(EndpointConnection& connection, const ResponseArrival& arrival) {
   std::vector<AttemptResult> results = readAttemptResults(connection);
-  auto proof = isFirst ? ResponseConfirmer::Proof::certain : ResponseConfirmer::Proof::byOrderAlone;
   for (std::size_t i = 0; i < results.size(); ++i) {
     BatchedAttempt& attempt = connection.attempts()[i];
-    if (isOutOfStep && !isFirst) {
-      finishAttempt(connection, attempt, unattributed(results[i]));
+    if (proofOf(connection) == ResponseProof::certain) {
+      finishAttempt(connection, attempt, results[i]);
       continue;
     }
-    finishAttempt(connection, attempt, results[i], proof);
+    connectionOfAttempt_.erase({attempt.message, attempt.attempt});
+    confirmer_.recordUnproven(connection, attempt, results[i], arrival);
+  }
+}
+
+// A response that shows the connection to be out of step proves nothing, unless no other one can have been
+// sent before it.
+void AttemptSender::recordOutOfStepResponse(EndpointConnection& connection) {
+  std::vector<AttemptResult> results = readAttemptResults(connection);
+  bool isProven = proofOf(connection) == ResponseProof::certain;
+  for (std::size_t i = 0; i < results.size(); ++i) {
+    finishAttempt(connection, connection.attempts()[i], isProven ? results[i] : unattributed(results[i]));
   }
 }
 
@@ -418,9 +452,9 @@
 }
 
 void AttemptSender::finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt,
-                                  const AttemptResult& result, ResponseConfirmer::Proof proof) {
+                                  const AttemptResult& result) {
   connectionOfAttempt_.erase({attempt.message, attempt.attempt});
-  confirmer_.record(connection, attempt, result, proof);
+  confirmer_.record(connection, attempt, result);
 }
 
 void AttemptSender::finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome,
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -90,15 +90,16 @@
   void cancelOnConnection(EndpointConnection& connection, BatchedAttempt& attempt);
   void finishUselessAttempts(EndpointConnection& connection);
 
-  void recordResponse(EndpointConnection& connection, bool isOutOfStep);
+  ResponseArrival arrivalOf(const EndpointConnection& connection) const;
+  void recordResponse(EndpointConnection& connection, const ResponseArrival& arrival);
+  void recordOutOfStepResponse(EndpointConnection& connection);
   void handleUnexpectedBytes(const EndpointConnection& connection, std::string_view bytes);
   void handleUnreadBytes(EndpointConnection& connection);
 
   void handleDue(EndpointConnection& connection);
   void timeOutAttempts(EndpointConnection& connection);
 
-  void finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result,
-                     ResponseConfirmer::Proof proof = ResponseConfirmer::Proof::certain);
+  void finishAttempt(EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result);
   void finishAllAndRelease(EndpointConnection& connection, AttemptOutcome outcome, CloseCause cause);
   void finishHealthCheck(EndpointConnection& connection, AttemptOutcome outcome, LoadReport report = {});
   CloseCause causeOfBreak(const EndpointConnection& connection) const;
--- a/src/delivery/connection_pool.cpp
+++ b/src/delivery/connection_pool.cpp
@@ -151,6 +151,7 @@
   dueTimes_.insert({connection.indexedDueAt_, &connection});
   bool isIdle = connection.isConnected() && !connection.isBusy() && !connection.hasUnsentAttempts();
   if (!isIdle || connection.hasFailedToStart() || connection.retirementCause_) return;
+  if (loop_.now() < connection.heldUntil()) return;
   connection.isIndexedAsIdle_ = true;
   idleByEndpoint_.insert({connection.endpoint(), connection.lastUsedAt_, &connection});
   leastRecentlyUsed_.insert({connection.lastUsedAt_, &connection});
@@ -192,6 +193,7 @@
   if (connection.hasFailedToStart()) return 0;
   if (connection.hasUnsentAttempts()) return connection.reusableAt();
   if (connection.retirementCause_) return connection.confirmedAt();
+  if (!connection.isBusy() && loop_.now() < connection.heldUntil()) return connection.heldUntil();
   if (!connection.isBusy()) return idleDeadline(connection);
   Millis due = connectDeadline(connection);
   if (connection.isHealthCheck()) due = std::min(due, healthCheckDeadline(connection));
--- a/src/delivery/connection_pool.h
+++ b/src/delivery/connection_pool.h
@@ -29,10 +29,10 @@
 // A connection is in the list `connections_` from acquire() to release(), and in the indexes as follows:
 // - It is in no index between acquire() and the next update(): its caller is about to use it.
 // - From update() on it is in `dueTimes_`, under the value of dueAt() at that call.
-// - If it was connected, not busy and had not failed at that call, it is in `idleByEndpoint_` and
-//   `leastRecentlyUsed_` too. Idle connections have no attempts and carry no health check, so the pool may
-//   close them; it notifies the observer only if bytes arrived that belong to no request, or the connection
-//   has ended.
+// - If it was connected, not busy, not held back and had not failed at that call, it is in
+//   `idleByEndpoint_` and `leastRecentlyUsed_` too. Idle connections have no attempts and carry no health
+//   check, so the pool may close them; it notifies the observer only if bytes arrived that belong to no
+//   request, or the connection has ended.
 // If a value changes on which a due time depends, update() must be called before the next tick.
 //
 // References and pointers to a connection stay valid until release(). The event loop deletes the object at
--- a/src/delivery/delivery_counters.h
+++ b/src/delivery/delivery_counters.h
@@ -16,6 +16,7 @@
   void countClosed(CloseCause cause) { ++closed_.at(static_cast<std::size_t>(cause)); }
   void countOpened() { ++opened_; }
   void countTakenBack() { ++takenBack_; }
+  void countUnconfirmed() { ++unconfirmed_; }
 
   std::uint64_t attempts(AttemptOutcome outcome) const {
     return attempts_.at(static_cast<std::size_t>(outcome));
@@ -25,6 +26,8 @@
   std::uint64_t opened() const { return opened_; }
   // Outcomes that were taken back, since their response belonged to another request.
   std::uint64_t takenBack() const { return takenBack_; }
+  // Outcomes that came too early, and that no later response of their endpoint confirmed.
+  std::uint64_t unconfirmed() const { return unconfirmed_; }
 
   bool operator==(const DeliveryCounters&) const = default;
 
@@ -33,6 +36,7 @@
   std::array<std::uint64_t, kCloseCauseCount> closed_{};
   std::uint64_t opened_{0};
   std::uint64_t takenBack_{0};
+  std::uint64_t unconfirmed_{0};
 };
 
 }  // namespace stonewing
--- a/src/delivery/delivery_log.cpp
+++ b/src/delivery/delivery_log.cpp
@@ -113,6 +113,21 @@
                                     {"status", end.status}});
 }
 
+void DeliveryLog::responseConfirmed(const AttemptEnd& end) const {
+  log::debug("response.confirmed",
+             {{"message", end.reference}, {"attempt", end.attempt}, {"connection", end.connection}});
+}
+
+void DeliveryLog::responseUnconfirmed(const AttemptEnd& end) {
+  counters_.countUnconfirmed();
+  log::debug("response.unconfirmed", {{"message", end.reference},
+                                      {"attempt", end.attempt},
+                                      {"endpoint", nameOf(end.endpoint)},
+                                      {"connection", end.connection},
+                                      {"exchange", end.exchange},
+                                      {"status", end.status}});
+}
+
 void DeliveryLog::unexpectedBytes(const EndpointConnection& connection, std::string_view bytes, Millis now) {
   if (!log::isEnabled(log::Level::warn) || !unexpectedBytesLines_.allow(now)) return;
   log::event(log::Level::warn, "connection.unexpected_bytes",
@@ -167,6 +182,7 @@
              {"reset", counters_.attempts(AttemptOutcome::reset)},
              {"unattributed", counters_.attempts(AttemptOutcome::unattributed)},
              {"taken_back", counters_.takenBack()},
+             {"unconfirmed", counters_.unconfirmed()},
              {"cancelled", counters_.attempts(AttemptOutcome::cancelled)},
              {"not_sent", counters_.attempts(AttemptOutcome::notSent)},
              {"connections", counters_.opened()},
--- a/src/delivery/delivery_log.h
+++ b/src/delivery/delivery_log.h
@@ -33,6 +33,10 @@
   void attemptFinished(const AttemptEnd& end, Millis now);
   // The outcome of an attempt by a response that belonged to another request no longer holds.
   void responseTakenBack(const AttemptEnd& end);
+  // Nothing contradicted a response until its time of confirmation, and it counts as the attempt's own.
+  void responseConfirmed(const AttemptEnd& end) const;
+  // Nothing contradicted it, but it came too early, and the endpoint has not responded since.
+  void responseUnconfirmed(const AttemptEnd& end);
   void attemptResourceExhausted(const EndpointConnection& connection) const;
   void requestUnreadable(const EndpointConnection& connection) const;
   void connectionClosed(const EndpointConnection& connection, CloseCause cause, Millis now);
--- a/src/delivery/endpoint_connection.h
+++ b/src/delivery/endpoint_connection.h
@@ -78,6 +78,9 @@
   // When the last response on the connection is confirmed; 0 if none is unconfirmed.
   Millis confirmedAt() const { return confirmedAt_; }
   void setConfirmedAt(Millis at) { confirmedAt_ = at; }
+  // The idle connection is not used before this time; 0 if it was never held back.
+  Millis heldUntil() const { return heldUntil_; }
+  void holdUntil(Millis at) { heldUntil_ = at; }
   // Why the connection is closed as soon as its responses are confirmed; no value if it is not to be closed.
   std::optional<CloseCause> retirementCause() const { return retirementCause_; }
 
@@ -93,6 +96,10 @@
   Millis sentAt() const { return sentAt_; }
   void setSentAt(Millis now) { sentAt_ = now; }
 
+  // When the current request, or the last one, began to be written; 0 before the first one.
+  Millis writtenAt() const { return writtenAt_; }
+  void setWrittenAt(Millis now) { writtenAt_ = now; }
+
   // When the last response ended; 0 before the first one.
   Millis lastUsedAt() const { return lastUsedAt_; }
 
@@ -113,7 +120,9 @@
   std::vector<BatchedAttempt> attempts_;
   StartFailure startFailure_{StartFailure::none};
   Millis sentAt_{0};
+  Millis writtenAt_{0};
   Millis confirmedAt_{0};
+  Millis heldUntil_{0};
   std::optional<Millis> responseDueAt_;
 
   // Changed only by the pool.
--- a/src/delivery/response_confirmer.cpp
+++ b/src/delivery/response_confirmer.cpp
@@ -6,14 +6,20 @@
 namespace stonewing {
 
 void ResponseConfirmer::record(const EndpointConnection& connection, BatchedAttempt& attempt,
-                               const AttemptResult& result, Proof proof) {
-  if (OutcomeRecorder::isFinal(result) && unconfirmed_.containsDelivery(attempt.message)) {
-    return recordFurtherDelivery(connection, attempt, result, proof);
-  }
+                               const AttemptResult& result) {
+  if (!isFurtherDelivery(attempt, result)) return recorder_.record(connection, attempt, result);
+  recordFurtherDelivery(connection, attempt, result);
+  unconfirmed_.removeDelivery(attempt.message);
+  recorder_.recordFinalOutcome(attempt.message);
+}
+
+void ResponseConfirmer::recordUnproven(const EndpointConnection& connection, BatchedAttempt& attempt,
+                                       const AttemptResult& result, const ResponseArrival& arrival) {
+  if (isFurtherDelivery(attempt, result)) return recordFurtherDelivery(connection, attempt, result);
   ResponseDoubt doubt;
-  if (proof == Proof::byOrderAlone && !attempt.isFinished()) {
+  if (!attempt.isFinished()) {
     doubt = policy_.responseDoubt(attempt.message, attempt.attempt, result.outcome,
-                                  OutcomeRecorder::isFinal(result));
+                                  OutcomeRecorder::isFinal(result), arrival);
   }
   // There is no time to confirm a response at the deadline. A claim that the attempt was not executed then
   // counts for nothing; of a delivery, the platform is notified too.
@@ -26,6 +32,7 @@
   }
 
   UnconfirmedResponse response{.end = recorder_.describe(connection, attempt, result),
+                               .arrival = arrival,
                                .handling = doubt.handling,
                                .confirmAt = confirmAt,
                                .deadline = deadline,
@@ -39,16 +46,16 @@
   unconfirmed_.add(std::move(response));
 }
 
-// Another attempt delivered a message whose delivery is not confirmed yet.
+// Whether another attempt delivered a message whose delivery is not confirmed yet.
+bool ResponseConfirmer::isFurtherDelivery(const BatchedAttempt& attempt, const AttemptResult& result) const {
+  return OutcomeRecorder::isFinal(result) && unconfirmed_.containsDelivery(attempt.message);
+}
+
 void ResponseConfirmer::recordFurtherDelivery(const EndpointConnection& connection, BatchedAttempt& attempt,
-                                              const AttemptResult& result, Proof proof) {
-  if (!attempt.isFinished()) {
-    attempt.state = BatchedAttempt::State::finished;
-    recorder_.recordInPolicy(recorder_.describe(connection, attempt, result));
-  }
-  if (proof != Proof::certain) return;
-  unconfirmed_.removeDelivery(attempt.message);
-  recorder_.recordFinalOutcome(attempt.message);
+                                              const AttemptResult& result) {
+  if (attempt.isFinished()) return;
+  attempt.state = BatchedAttempt::State::finished;
+  recorder_.recordInPolicy(recorder_.describe(connection, attempt, result));
 }
 
 void ResponseConfirmer::contradict(const EndpointConnection& connection) {
@@ -65,7 +72,7 @@
 
 void ResponseConfirmer::onTick() {
   std::erase_if(contradicted_, [this](const UnconfirmedResponse& each) { return takeBack(each); });
-  while (auto response = unconfirmed_.takeConfirmed(loop_.now())) confirm(*response);
+  while (auto response = unconfirmed_.takeConfirmed(loop_.now())) confirm(std::move(*response));
 }
 
 std::optional<Millis> ResponseConfirmer::due() const {
@@ -73,12 +80,18 @@
   return unconfirmed_.nextConfirmAt();
 }
 
-void ResponseConfirmer::confirm(const UnconfirmedResponse& response) {
-  if (response.handling == ResponseHandling::deferUntilConfirmed) {
-    recorder_.record(response.end);
-  } else {
-    recorder_.recordFinalOutcome(response.end.message);
+// Nothing has contradicted the response. If that proves nothing, the attempt may have been executed or not.
+void ResponseConfirmer::confirm(UnconfirmedResponse response) {
+  bool isDeferred = response.handling == ResponseHandling::deferUntilConfirmed;
+  if (!policy_.confirmResponse(response.end.endpoint, response.arrival)) {
+    log_.responseUnconfirmed(response.end);
+    if (isDeferred) return endDeferred(std::move(response), AttemptOutcome::unattributed);
+    contradicted_.push_back(std::move(response));
+    return;
   }
+  log_.responseConfirmed(response.end);
+  if (isDeferred) return recorder_.record(response.end);
+  recorder_.recordFinalOutcome(response.end.message);
 }
 
 // Returns false if the message cannot be continued yet, since another attempt of it has not ended.
--- a/src/delivery/response_confirmer.h
+++ b/src/delivery/response_confirmer.h
@@ -24,13 +24,13 @@
                     OutcomeRecorder& recorder, DeliveryLog& log)
       : loop_(loop), policy_(policy), store_(store), recorder_(recorder), log_(log) {}
 
-  // Whether a response certainly belongs to the request that is out on its connection.
-  enum class Proof { certain, byOrderAlone };
-
-  // Records the result of an attempt, or keeps it until it is confirmed. One that does not come from a
-  // complete response is certain.
-  void record(const EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result,
-              Proof proof);
+  // Records the result of an attempt that certainly is its own. One that does not come from a complete
+  // response is certain.
+  void record(const EndpointConnection& connection, BatchedAttempt& attempt, const AttemptResult& result);
+  // Records the result of an attempt by a response that belongs to it by order alone, or keeps it until it is
+  // confirmed.
+  void recordUnproven(const EndpointConnection& connection, BatchedAttempt& attempt,
+                      const AttemptResult& result, const ResponseArrival& arrival);
   // Bytes that belong to no request arrived on the connection: nothing that was concluded from it since its
   // last confirmed response holds. Takes effect at the next onTick().
   void contradict(const EndpointConnection& connection);
@@ -51,9 +51,10 @@
   bool idle() const { return unconfirmed_.empty() && contradicted_.empty(); }
 
  private:
+  bool isFurtherDelivery(const BatchedAttempt& attempt, const AttemptResult& result) const;
   void recordFurtherDelivery(const EndpointConnection& connection, BatchedAttempt& attempt,
-                             const AttemptResult& result, Proof proof);
-  void confirm(const UnconfirmedResponse& response);
+                             const AttemptResult& result);
+  void confirm(UnconfirmedResponse response);
   bool takeBack(const UnconfirmedResponse& response);
   void endDeferred(UnconfirmedResponse response, AttemptOutcome outcome);
   void continueMessage(const UnconfirmedResponse& response);
--- a/src/delivery/response_reader.cpp
+++ b/src/delivery/response_reader.cpp
@@ -101,6 +101,10 @@
 
 }  // namespace
 
+bool isDelivery(const EndpointConnection& connection) {
+  return connection.status() == kOk && !connection.isHealthCheck();
+}
+
 bool namesNoMessage(const EndpointConnection& connection) {
   if (connection.status() != kOk || connection.attempts().size() <= 1) return false;
   std::map<std::string_view, std::string_view> wordOfReference = readBatchBody(connection.body());
--- a/src/delivery/response_reader.h
+++ b/src/delivery/response_reader.h
@@ -24,6 +24,9 @@
 // The results that a complete response reports, one for each attempt of the request, in their order.
 std::vector<AttemptResult> readAttemptResults(const EndpointConnection& connection);
 
+// Whether a complete response reports the delivery of messages, and not of a health check.
+bool isDelivery(const EndpointConnection& connection);
+
 // Whether a batch response names none of the request's messages, so that it belongs to another request.
 bool namesNoMessage(const EndpointConnection& connection);
 
--- a/src/delivery/unconfirmed_responses.h
+++ b/src/delivery/unconfirmed_responses.h
@@ -10,6 +10,7 @@
 
 #include "delivery/attempt_end.h"
 #include "policy/attempt.h"
+#include "policy/response_arrival.h"
 #include "policy/response_evidence.h"
 
 namespace stonewing {
@@ -24,6 +25,7 @@
 // The outcome of an attempt by a response that may belong to an earlier request on its connection.
 struct UnconfirmedResponse {
   AttemptEnd end;
+  ResponseArrival arrival;
   ResponseHandling handling{ResponseHandling::conclude};
   Millis confirmAt{};  // milliseconds of the event loop's clock
   // To continue the message if its delivery is taken back.
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr double kRetryDelayShare = 0.5;  // delay of a retry after an error, as a share of p50
+// Share of the time in which a message may be retried that may pass until an early response is confirmed.
+constexpr double kUnconfirmedShare = 0.5;
 
 // Whether the attempt reached no server that would have executed it.
 bool isProvablyNotExecuted(AttemptOutcome outcome) {
@@ -41,6 +43,7 @@
       requests_(clock_),
       connections_(settings_, clock_, pacer_),
       trust_(clock_),
+      plausibility_(clock_),
       listChanges_(clock_, settings_.drainGrace),
       healthChecker_(settings_, clock_, healthCheckQueue_, endpoints_, outliers_, slowStart_, zones_),
       ordering_(settings_, clock_),
@@ -295,25 +298,51 @@
          mayStillAttempt(settings_, *message, attempt, clock_.now());
 }
 
-void DispatchPolicy::recordUnexpectedBytes(EndpointId id) { trust_.recordUnexpectedBytes(id); }
+void DispatchPolicy::recordResponse(EndpointId id, const ResponseArrival& response, ResponseProof proof) {
+  if (Endpoint* endpoint = endpoints_.find(id)) plausibility_.recordResponse(*endpoint, response, proof);
+}
+
+void DispatchPolicy::recordUnexpectedBytes(EndpointId id) {
+  trust_.recordUnexpectedBytes(id);
+  if (Endpoint* endpoint = endpoints_.find(id)) ResponsePlausibility::recordUnexpectedBytes(*endpoint);
+}
 
 void DispatchPolicy::recordRetryAfter(EndpointId id, Millis retryAfter) {
   if (Endpoint* endpoint = endpoints_.find(id)) pacer_.recordRetryAfter(*endpoint->route, retryAfter);
 }
 
 std::optional<Millis> DispatchPolicy::quietBeforeReuse(EndpointId id) const {
+  const Endpoint* endpoint = endpoints_.find(id);
+  if (endpoint != nullptr && ResponsePlausibility::needsProof(*endpoint)) return std::nullopt;
   return trust_.quietBeforeReuse(id, endpoints_.endpoints().size());
 }
 
 ResponseDoubt DispatchPolicy::responseDoubt(MessageId id, int attemptNumber, AttemptOutcome outcome,
-                                            bool isFinal) const {
+                                            bool isFinal, const ResponseArrival& response) const {
   const Message* message = messages_.find(id);
   if (message == nullptr || message->finished) return {};
   const TrafficType& type = trafficTypeOf(settings_, *message);
   ResponseHandling handling = handlingOf(type, outcome, isFinal);
   if (handling == ResponseHandling::conclude) return {};
   const Attempt& attempt = message->attempts.at(static_cast<std::size_t>(attemptNumber));
-  return {handling, confirmationTime(handling, latencies_.typicalP95(*attempt.endpoint, type))};
+  Millis confirmAfter = confirmationTime(handling, latencies_.typicalP95(*attempt.endpoint, type));
+  Millis retryTime = retriesExhaustedAt(settings_, *message, clock_.now()) - clock_.now();
+  // A response that is too early may remain unconfirmed, and its message should then be retried in time.
+  if (retryTime > 0 && ResponsePlausibility::isTooEarly(*attempt.endpoint, response)) {
+    confirmAfter = std::min(confirmAfter, kUnconfirmedShare * retryTime);
+  }
+  return {handling, confirmAfter};
+}
+
+bool DispatchPolicy::isResponseTooEarly(EndpointId id, const ResponseArrival& response) const {
+  const Endpoint* endpoint = endpoints_.find(id);
+  return endpoint != nullptr && ResponsePlausibility::isTooEarly(*endpoint, response);
+}
+
+// Of an endpoint that is not known any more, nothing could show that it responds.
+bool DispatchPolicy::confirmResponse(EndpointId id, const ResponseArrival& response) {
+  Endpoint* endpoint = endpoints_.find(id);
+  return endpoint == nullptr || plausibility_.confirm(*endpoint, response);
 }
 
 // Asks the modules in the order of urgency: first for final answers to clients, then for cancellations, which
--- a/src/policy/dispatch_policy.h
+++ b/src/policy/dispatch_policy.h
@@ -25,7 +25,9 @@
 #include "policy/random_source.h"
 #include "policy/rate_pacer.h"
 #include "policy/request_tracker.h"
+#include "policy/response_arrival.h"
 #include "policy/response_evidence.h"
+#include "policy/response_plausibility.h"
 #include "policy/retry_budget.h"
 #include "policy/round_clock.h"
 #include "policy/scheduler.h"
@@ -84,6 +86,9 @@
                             Millis retryAfter, LoadReport report);
   void recordHealthCheckOutcome(EndpointId id, AttemptOutcome outcome, LoadReport report);
   void recordTimerFired();
+  // A complete response arrived that fits its request. Must be called before the outcomes that it reports are
+  // recorded. An unknown endpoint is ignored.
+  void recordResponse(EndpointId id, const ResponseArrival& response, ResponseProof proof);
   // Bytes that belong to no request arrived on a connection to the endpoint.
   void recordUnexpectedBytes(EndpointId id);
   // A response asks for a delay, from now, before its outcome is recorded. An unknown endpoint is ignored.
@@ -112,7 +117,13 @@
   std::optional<Millis> quietBeforeReuse(EndpointId id) const;
   // How to handle the outcome of a pending attempt by a response that may belong to an earlier request on its
   // connection. isFinal: the outcome ends the message.
-  ResponseDoubt responseDoubt(MessageId id, int attempt, AttemptOutcome outcome, bool isFinal) const;
+  ResponseDoubt responseDoubt(MessageId id, int attempt, AttemptOutcome outcome, bool isFinal,
+                              const ResponseArrival& response) const;
+  // Whether a response that may belong to an earlier request came too early to belong to its own.
+  bool isResponseTooEarly(EndpointId id, const ResponseArrival& response) const;
+  // Whether such a response belongs to its request, if nothing has contradicted it until its time of
+  // confirmation. Must be called once for each, then.
+  bool confirmResponse(EndpointId id, const ResponseArrival& response);
 
   PolicyState state() const;
 
@@ -151,6 +162,7 @@
   RequestTracker requests_;
   ConnectionReuse connections_;
   ConnectionTrust trust_;
+  ResponsePlausibility plausibility_;
   ListChangeGuard listChanges_;
   HealthChecker healthChecker_;
   Ordering ordering_;
--- a/src/policy/endpoint.h
+++ b/src/policy/endpoint.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <optional>
+
 #include "base/ids.h"
 #include "policy/attempt_outcome.h"
 #include "policy/endpoint_state.h"
 #include "policy/latency_reservoir.h"
+#include "policy/response_arrival.h"
+#include "policy/windowed_minimum.h"
 #include "settings/deployment_settings.h"
 
 namespace stonewing {
@@ -58,6 +62,19 @@
   Millis lastRequestAt_{-1};
 };
 
+// The responses of one endpoint that are known to belong to their requests. Only ResponsePlausibility writes
+// it.
+class ResponseHistory {
+ private:
+  friend class ResponsePlausibility;
+  static constexpr Millis kFastestPeriodMs = 300'000;
+  WindowedMinimum fastestDelivery_{kFastestPeriodMs};  // response times
+  WindowedMinimum fastestOther_{kFastestPeriodMs};
+  Millis lastAnsweredWrittenAt_{-1};  // when the latest request that was answered was written; -1: none
+  // The last response that was too early and could not be confirmed.
+  std::optional<ResponseArrival> unconfirmed_;
+};
+
 // An endpoint of a destination. EndpointRegistry owns it and writes the fields up to removedAt; the other
 // members have their own writers, named at their classes.
 struct Endpoint {
@@ -74,6 +91,7 @@
   FailureHistory failures;
   ConnectionUse connections;
   LatencyReservoir latencies;
+  ResponseHistory responses;
 };
 
 }  // namespace stonewing
--- a/src/policy/endpoint_registry.cpp
+++ b/src/policy/endpoint_registry.cpp
@@ -101,4 +101,9 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+const Endpoint* EndpointRegistry::find(EndpointId id) const {
+  auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? nullptr : &found->second;
+}
+
 }  // namespace stonewing
--- a/src/policy/endpoint_registry.h
+++ b/src/policy/endpoint_registry.h
@@ -42,6 +42,7 @@
   Destination& destination(DestinationId id);
   // Returns null for an id that is not known.
   Endpoint* find(EndpointId id);
+  const Endpoint* find(EndpointId id) const;
   // The id must be known.
   Endpoint& at(EndpointId id) { return endpoints_.at(id); }
   const std::map<EndpointId, Endpoint>& endpoints() const { return endpoints_; }
--- a/tests/delivery/repeated_response_test.cpp
+++ b/tests/delivery/repeated_response_test.cpp
@@ -13,13 +13,18 @@
 const std::string kUnavailable = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
 const std::string kBackoff = "HTTP/1.1 429 No\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n";
 
+// How long an endpoint takes to respond, in milliseconds. A response that comes at once is too early there.
+constexpr Millis kSlowResponse = 300;
+
 // A sender whose one connection has carried message "first" and is about to carry "second".
 struct KeptConnection : AttemptSenderHarness {
   std::string type;
 
-  explicit KeptConnection(std::string typeOfSecond) : type(std::move(typeOfSecond)) {
+  // `responseTime`: of the endpoint's response to "first", in milliseconds.
+  explicit KeptConnection(std::string typeOfSecond, Millis responseTime = 0) : type(std::move(typeOfSecond)) {
     accept("first", "status", 9000);
     EXPECT_TRUE(sendUpTo("\r\n\r\nx"));
+    turnFor(responseTime);
     EXPECT_TRUE(respondAndFinishAll());
   }
 
@@ -126,6 +131,76 @@
   EXPECT_FALSE(harness.isClosed());
 }
 
+// A repeat 73 ms behind its original met a request that had left 13 ms before, and the endpoint was silent
+// from then on: nothing contradicted the delivery, and the message had neither an attempt nor a notification
+// left.
+TEST(RepeatedResponse, ADeliveryReportedTooEarlyIsNotBelievedWhileTheEndpointIsSilent) {
+  for (std::string type : {"status", "repeat"}) {
+    KeptConnection harness(type, kSlowResponse);
+    harness.sendSecond();
+    sendBytes(harness.connection, kEmptyResponse);  // the repeat
+    EXPECT_TRUE(harness.isConnectedAgain(kUntilConfirmed)) << type;
+    EXPECT_TRUE(harness.store.contains("second")) << type;
+    EXPECT_EQ(harness.attemptCount(), 2u) << type;
+  }
+}
+
+TEST(RepeatedResponse, AMessageThatMayNotRunTwiceFailsWhenItsDeliveryWasReportedTooEarly) {
+  KeptConnection harness("order", kSlowResponse);
+  harness.sendSecond();
+  sendBytes(harness.connection, kEmptyResponse);
+  std::size_t failed = 0;
+  EXPECT_TRUE(harness.turnUntil(
+      [&] {
+        while (auto decision = harness.policy.nextDecision())
+          failed += std::holds_alternative<FailMessage>(*decision);
+        return failed > 0;
+      },
+      kUntilConfirmed));
+  EXPECT_TRUE(harness.store.contains("second"));  // until its notification is recorded
+}
+
+// An endpoint that became faster: its response is believed once it has responded to a later request, too.
+TEST(RepeatedResponse, AnEarlyDeliveryIsBelievedOnceTheEndpointRespondsToALaterRequest) {
+  KeptConnection harness("order", kSlowResponse);
+  harness.sendSecond();
+  sendBytes(harness.connection, kEmptyResponse);
+  harness.turnFor(kUntilReusable);
+  EXPECT_TRUE(harness.store.contains("second"));
+  int firstConnection = std::exchange(harness.connection, -1);
+  harness.accept("third", "status", 9000);
+  ASSERT_TRUE(harness.sendUpTo("\r\n\r\nx"));  // on a new connection
+  EXPECT_TRUE(harness.respondAndFinishAll());
+  EXPECT_TRUE(harness.store.pendingNotifications().empty());
+  ::close(firstConnection);
+}
+
+// A repeated rejection that is not contradicted does not release a message that may be running.
+TEST(RepeatedResponse, ARejectionReportedTooEarlyReleasesNoMessageWhileTheEndpointIsSilent) {
+  for (std::string type : {"order", "repeat"}) {
+    AttemptSenderHarness harness;
+    harness.accept("first", type, 9000);
+    ASSERT_TRUE(harness.sendUpTo("\r\n\r\nx"));
+    harness.turnFor(kSlowResponse);
+    sendBytes(harness.connection, kUnavailable);
+    ASSERT_TRUE(harness.turnUntil([&] { return !harness.isPending("first"); }));
+    harness.policy.cancelMessage(harness.ids["first"]);
+    harness.store.recordDelivered(harness.ids["first"]);
+    harness.turnFor(kUntilReusable);
+    harness.accept("second", type, 9000);
+    harness.received.clear();
+    ASSERT_TRUE(harness.turnUntil(
+        [&] {
+          harness.sendDecided();
+          return harness.attemptsOf("second").size() == 1 && harness.receiveUpTo("\r\n\r\nx");
+        },
+        kUntilConfirmed));
+    sendBytes(harness.connection, kUnavailable);  // the repeat
+    ASSERT_TRUE(harness.turnUntil([&] { return !harness.isPending("second"); }, kUntilConfirmed));
+    EXPECT_FALSE(harness.attemptsOf("second").at(0).provablyNotExecuted) << type;
+  }
+}
+
 // The true response to a request for which a repeat was taken may ask for a delay.
 TEST(RepeatedResponse, TheDelayInAnUnexpectedResponseIsRespected) {
   KeptConnection harness("status");
