Delivery: an early response that stays unconfirmed is notified, and its message not sent again

Change: such a delivery waits until the endpoint has responded to a later request. Nothing is sent again for the doubt alone. Deferred outcomes (ordered messages, rejections) end at their time of confirmation as before.

--- a/src/delivery/delivery_log.h
+++ b/src/delivery/delivery_log.h
@@ -35,7 +35,8 @@
   void responseTakenBack(const AttemptEnd& end);
   // Nothing contradicted a response until its time of confirmation, and it counts as the attempt's own.
   void responseConfirmed(const AttemptEnd& end) const;
-  // Nothing contradicted it, but it came too early, and the endpoint has not responded since.
+  // Nothing contradicted it, but it came too early, and the endpoint has not responded to a later request
+  // yet.
   void responseUnconfirmed(const AttemptEnd& end);
   void attemptResourceExhausted(const EndpointConnection& connection) const;
   void requestUnreadable(const EndpointConnection& connection) const;
--- a/src/delivery/response_confirmer.cpp
+++ b/src/delivery/response_confirmer.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace stonewing {
+namespace {
+
+// Between two looks at a response that is not confirmed in time.
+constexpr Millis kConfirmIntervalMs = 100;
+
+}  // namespace
 
 void ResponseConfirmer::record(const EndpointConnection& connection, BatchedAttempt& attempt,
                                const AttemptResult& result) {
@@ -19,7 +25,7 @@
   ResponseDoubt doubt;
   if (!attempt.isFinished()) {
     doubt = policy_.responseDoubt(attempt.message, attempt.attempt, result.outcome,
-                                  OutcomeRecorder::isFinal(result), arrival);
+                                  OutcomeRecorder::isFinal(result));
   }
   // There is no time to confirm a response at the deadline. A claim that the attempt was not executed then
   // counts for nothing; of a delivery, the platform is notified too.
@@ -80,20 +86,32 @@
   return unconfirmed_.nextConfirmAt();
 }
 
-// Nothing has contradicted the response. If that proves nothing, the attempt may have been executed or not.
 void ResponseConfirmer::confirm(UnconfirmedResponse response) {
-  bool isDeferred = response.handling == ResponseHandling::deferUntilConfirmed;
   if (!policy_.confirmResponse(response.end.endpoint, response.arrival)) {
-    log_.responseUnconfirmed(response.end);
-    if (isDeferred) return endDeferred(std::move(response), AttemptOutcome::unattributed);
-    contradicted_.push_back(std::move(response));
-    return;
+    return keepUnconfirmed(std::move(response));
   }
   log_.responseConfirmed(response.end);
-  if (isDeferred) return recorder_.record(response.end);
+  if (response.handling == ResponseHandling::deferUntilConfirmed) return recorder_.record(response.end);
   recorder_.recordFinalOutcome(response.end.message);
 }
 
+// Nothing has contradicted the response, and that proves nothing. Its message is not sent again, since it was
+// delivered unless the response is a repeat. It waits until the endpoint responds to a later request; the
+// platform is notified at its deadline otherwise, which does no harm if it was delivered. An attempt whose
+// outcome is deferred occupies a request, so it ends now.
+void ResponseConfirmer::keepUnconfirmed(UnconfirmedResponse response) {
+  if (!std::exchange(response.isLate, true)) log_.responseUnconfirmed(response.end);
+  if (response.handling == ResponseHandling::deferUntilConfirmed) {
+    return endDeferred(std::move(response), AttemptOutcome::unattributed);
+  }
+  Millis lastConfirmAt = response.deadline - OutcomeRecorder::kMaxReadDelayMs;
+  if (loop_.now() >= lastConfirmAt) {
+    return store_.addPendingNotification(response.end.message, FinalOutcome::failed, 0);
+  }
+  response.confirmAt = std::min(lastConfirmAt, loop_.now() + kConfirmIntervalMs);
+  unconfirmed_.add(std::move(response));
+}
+
 // Returns false if the message cannot be continued yet, since another attempt of it has not ended.
 bool ResponseConfirmer::takeBack(const UnconfirmedResponse& response) {
   bool isDeferred = response.handling == ResponseHandling::deferUntilConfirmed;
--- a/src/delivery/response_confirmer.h
+++ b/src/delivery/response_confirmer.h
@@ -55,6 +55,7 @@
   void recordFurtherDelivery(const EndpointConnection& connection, BatchedAttempt& attempt,
                              const AttemptResult& result);
   void confirm(UnconfirmedResponse response);
+  void keepUnconfirmed(UnconfirmedResponse response);
   bool takeBack(const UnconfirmedResponse& response);
   void endDeferred(UnconfirmedResponse response, AttemptOutcome outcome);
   void continueMessage(const UnconfirmedResponse& response);
--- a/src/delivery/unconfirmed_responses.h
+++ b/src/delivery/unconfirmed_responses.h
@@ -28,6 +28,7 @@
   ResponseArrival arrival;
   ResponseHandling handling{ResponseHandling::conclude};
   Millis confirmAt{};  // milliseconds of the event loop's clock
+  bool isLate{false};  // it was not confirmed at its first time of confirmation
   // To continue the message if its delivery is taken back.
   Millis deadline{};  // milliseconds of the event loop's clock
   std::vector<EarlierAttempt> attempts;
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr double kRetryDelayShare = 0.5;  // delay of a retry after an error, as a share of p50
-// Share of the time in which a message may be retried that may pass until an early response is confirmed.
-constexpr double kUnconfirmedShare = 0.5;
 
 // Whether the attempt reached no server that would have executed it.
 bool isProvablyNotExecuted(AttemptOutcome outcome) {
@@ -318,20 +316,14 @@
 }
 
 ResponseDoubt DispatchPolicy::responseDoubt(MessageId id, int attemptNumber, AttemptOutcome outcome,
-                                            bool isFinal, const ResponseArrival& response) const {
+                                            bool isFinal) const {
   const Message* message = messages_.find(id);
   if (message == nullptr || message->finished) return {};
   const TrafficType& type = trafficTypeOf(settings_, *message);
   ResponseHandling handling = handlingOf(type, outcome, isFinal);
   if (handling == ResponseHandling::conclude) return {};
   const Attempt& attempt = message->attempts.at(static_cast<std::size_t>(attemptNumber));
-  Millis confirmAfter = confirmationTime(handling, latencies_.typicalP95(*attempt.endpoint, type));
-  Millis retryTime = retriesExhaustedAt(settings_, *message, clock_.now()) - clock_.now();
-  // A response that is too early may remain unconfirmed, and its message should then be retried in time.
-  if (retryTime > 0 && ResponsePlausibility::isTooEarly(*attempt.endpoint, response)) {
-    confirmAfter = std::min(confirmAfter, kUnconfirmedShare * retryTime);
-  }
-  return {handling, confirmAfter};
+  return {handling, confirmationTime(handling, latencies_.typicalP95(*attempt.endpoint, type))};
 }
 
 bool DispatchPolicy::isResponseTooEarly(EndpointId id, const ResponseArrival& response) const {
--- a/src/policy/dispatch_policy.h
+++ b/src/policy/dispatch_policy.h
@@ -117,12 +117,11 @@
   std::optional<Millis> quietBeforeReuse(EndpointId id) const;
   // How to handle the outcome of a pending attempt by a response that may belong to an earlier request on its
   // connection. isFinal: the outcome ends the message.
-  ResponseDoubt responseDoubt(MessageId id, int attempt, AttemptOutcome outcome, bool isFinal,
-                              const ResponseArrival& response) const;
+  ResponseDoubt responseDoubt(MessageId id, int attempt, AttemptOutcome outcome, bool isFinal) const;
   // Whether a response that may belong to an earlier request came too early to belong to its own.
   bool isResponseTooEarly(EndpointId id, const ResponseArrival& response) const;
   // Whether such a response belongs to its request, if nothing has contradicted it until its time of
-  // confirmation. Must be called once for each, then.
+  // confirmation. To be called then, and again later if it was not confirmed.
   bool confirmResponse(EndpointId id, const ResponseArrival& response);
 
   PolicyState state() const;
--- a/src/policy/response_plausibility.h
+++ b/src/policy/response_plausibility.h
@@ -32,7 +32,7 @@
   // be believed on kept connections.
   static bool needsProof(const Endpoint& endpoint) { return endpoint.responses.unconfirmed_.has_value(); }
   // Whether a response that nothing has contradicted until its time of confirmation belongs to its request.
-  // Must be called once for each, then.
+  // To be called then, and again later if it was not confirmed.
   bool confirm(Endpoint& endpoint, const ResponseArrival& response) const;
 
  private:
