Delivery: an attempt is journaled once its connection is ready, not when it is decided

Cause: recordBatch() wrote the record "attempted" in the turn of the decision. The request left up to 60 ms later on a kept connection, or up to the connect timeout later on a new one. The debug logs show attempt.sent, no attempt.written, the kill, message.recovered with attempts=1 and 15.3 s left, and result=failed.

Change: the record is written in the turn in which the connection is ready (established, or quiet for long enough), and the request follows that commit. The store names attempts by their number. A new connection that ends before its first request now counts as not established: the request used to be written on it.

Tests, on the code before: AttemptSender.JournalsAnAttemptOnlyOnceItsConnectionIsReady and Restart.AttemptsMessagesWhoseRequestsHadNotBegunAtTheKill fail; CountsAConnectionThatEndsBeforeItsFirstRequestAsFailed guards the new path (there the outcome was a reset). The store's tests name the numbers; the restart test records them out of order.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -49,11 +49,15 @@
                             message != nullptr ? message->reference : ""});
 }
 
-void AttemptSender::recordBatches() {
-  for (auto& [request, batch] : std::exchange(gatheredBatches_, {})) recordBatch(std::move(batch));
+void AttemptSender::recordRequests() {
+  for (auto& [request, batch] : std::exchange(gatheredBatches_, {})) assignConnection(std::move(batch));
+  for (EndpointConnection* connection : std::exchange(readyForRequest_, {})) {
+    recordInStore(*connection);
+    awaitingCommit_.push_back(connection);
+  }
 }
 
-void AttemptSender::recordBatch(Batch batch) {
+void AttemptSender::assignConnection(Batch batch) {
   EndpointConnection& connection =
       pool_.acquire(batch.endpoint, discovery_.find(batch.endpoint), ConnectionPool::Reuse::nowOrSoon);
   // Endpoints store a batch under the id of its first message. If that message finished while the request
@@ -69,30 +73,52 @@
   for (const BatchedAttempt& attempt : connection.attempts()) {
     log_.attemptSent(connection, attempt, loop_.now());
     policy_.recordConnectionIdleTime(attempt.message, attempt.attempt, idleTime);
-  }
-  recordInStore(connection);
-  for (const BatchedAttempt& attempt : connection.attempts()) {
     connectionOfAttempt_[{attempt.message, attempt.attempt}] = &connection;
   }
-  awaitingCommit_.push_back(&connection);
+  bool isReady = connection.isConnected() && !connection.isWaitingForQuiet(loop_.now());
+  if (!isReady) return pool_.update(connection);
+  connection.setReadyAt(loop_.now());
+  readyForRequest_.push_back(&connection);
+}
+
+// Called once the connection is ready, which may be long after its request was decided. By then the endpoint
+// may be draining or may have sent a Retry-After, or the deduplication window of a retry may have ended. Such
+// attempts are not sent. Returns false if none is left, and the connection was released.
+bool AttemptSender::prepareRequest(EndpointConnection& connection) {
+  for (BatchedAttempt& attempt : connection.attempts()) {
+    if (attempt.isFinished() || policy_.mayStartAttempt(attempt.message, attempt.attempt)) continue;
+    finishAttempt(connection, attempt, {AttemptOutcome::notSent});
+  }
+  connection.removeFinishedAttempts();
+  if (connection.attempts().empty()) {
+    release(connection, CloseCause::notSent);
+    return false;
+  }
+  connection.setReadyAt(loop_.now());
+  pool_.suspend(connection);
+  readyForRequest_.push_back(&connection);
+  return true;
 }
 
-// An attempt is recorded before its last byte is sent, since after a kill it may have been executed. An
-// attempt that cannot be recorded is not sent.
+// An attempt is recorded before its first byte is sent, since after a kill it may have been executed. One
+// that cannot be recorded is not sent. An attempt that still waits for its connection is not recorded: after
+// a kill it would count as possibly executed, and a message that may not be executed twice would be given up.
 void AttemptSender::recordInStore(EndpointConnection& connection) {
   const DiscoveredEndpoint* endpoint = discovery_.find(connection.endpoint());
   for (const BatchedAttempt& attempt : connection.attempts()) {
-    if (endpoint == nullptr || !store_.recordAttempt(attempt.message, endpoint->record, wallNow())) {
+    bool isRecorded = endpoint != nullptr && !attempt.isFinished() &&
+                      store_.recordAttempt(attempt.message, attempt.attempt, endpoint->record, wallNow());
+    if (!isRecorded && !attempt.isFinished()) {
       connection.setStartFailure(EndpointConnection::StartFailure::localResources);
     }
   }
 }
 
-void AttemptSender::sendBatches() {
-  for (EndpointConnection* connection : std::exchange(awaitingCommit_, {})) sendBatch(*connection);
+void AttemptSender::sendRequests() {
+  for (EndpointConnection* connection : std::exchange(awaitingCommit_, {})) sendRequest(*connection);
 }
 
-void AttemptSender::sendBatch(EndpointConnection& connection) {
+void AttemptSender::sendRequest(EndpointConnection& connection) {
   connection.removeFinishedAttempts();
   if (connection.attempts().empty()) return release(connection, CloseCause::cancelled);
   for (const BatchedAttempt& attempt : connection.attempts()) {
@@ -101,44 +127,53 @@
     }
   }
   if (!connection.hasFailedToStart()) {
-    if (connection.isWaitingForQuiet(loop_.now())) return pool_.update(connection);
+    if (!connection.isReusable()) return abandonUnusable(connection);
     if (!isStillSendable(connection)) {
-      if (connection.isConnected()) handleUnreadBytes(connection);
       return finishAllAndRelease(connection, AttemptOutcome::notSent, CloseCause::notSent);
     }
     recordDelayedSend(connection);
-    if (connection.isConnected()) writeRequest(connection);
+    writeRequest(connection);
     connection.startExchange();
   }
   pool_.update(connection);
 }
 
+// The connection has ended since it was chosen or established, and the attempts would count as possibly
+// executed; or the endpoint has sent unrequested bytes on it, which would count as the response. A new
+// connection that ends before its first request counts as one that could not be established.
+void AttemptSender::abandonUnusable(EndpointConnection& connection) {
+  bool isNewConnection = connection.exchangeCount() == 0;
+  handleUnreadBytes(connection);
+  finishAllAndRelease(connection, isNewConnection ? AttemptOutcome::connectFailed : AttemptOutcome::notSent,
+                      isNewConnection ? CloseCause::connectFailed : CloseCause::notSent);
+}
+
 // Whether the request may still be sent after the journal was written. A slow journal write may have delayed
 // the request. Without this check, the request could reach an endpoint that is draining by now or has sent a
-// Retry-After, or could be sent after the deduplication window of a retry. Even after a short write, the
-// reused connection may have ended, and the attempt would count as possibly executed; or the endpoint may
-// have sent unrequested bytes on the connection, which would count as the response.
+// Retry-After, or could be sent after the deduplication window of a retry.
 bool AttemptSender::isStillSendable(const EndpointConnection& connection) const {
-  if (connection.isConnected() && !connection.isReusable()) return false;
-  if (loop_.now() <= connection.sentAt()) return true;  // not delayed
+  if (loop_.now() <= connection.readyAt()) return true;  // not delayed
   return std::all_of(
       connection.attempts().begin(), connection.attempts().end(), [this](const BatchedAttempt& attempt) {
         return loop_.now() < attempt.timeoutAt && policy_.mayStartAttempt(attempt.message, attempt.attempt);
       });
 }
 
-// Moves the time of sending to the present if the journal delayed the request. Without this, the delay would
-// count as time for which the endpoint did not respond.
+// Moves the time of sending to the present if the journal delayed the request, or the time for which a kept
+// connection had to be quiet. Without this, the delay would count as time for which the endpoint did not
+// respond.
 void AttemptSender::recordDelayedSend(EndpointConnection& connection) {
-  if (loop_.now() <= connection.sentAt()) return;
+  bool isNewConnection = connection.exchangeCount() == 0;
+  Millis expectedAt = isNewConnection ? connection.readyAt() : connection.sentAt();
+  if (loop_.now() <= expectedAt) return;
   connection.setSentAt(loop_.now());
   for (const BatchedAttempt& attempt : connection.attempts()) {
     policy_.recordSendTime(attempt.message, attempt.attempt);
   }
 }
 
-// Composes the request of the attempts that the connection carries at this time. Must be called only once the
-// connection is established, since attempts may be cancelled until then.
+// Composes the request of the attempts that the connection carries at this time: attempts may be cancelled
+// until then.
 void AttemptSender::writeRequest(EndpointConnection& connection) {
   connection.setWrittenAt(loop_.now());
   Millis latestTimeout = loop_.now();
@@ -245,27 +280,9 @@
   }
 }
 
-// A connection may be established long after its request was decided. By then the endpoint may be draining or
-// may have sent a Retry-After, or the deduplication window of a retry may have ended. The policy counts a
-// request from its first byte, so such an attempt is not sent. One attempt of a batch may have ended
-// meanwhile, by its time-out or because its message was finished by another attempt. A request composed
-// earlier would contain this message after its final outcome.
 bool AttemptSender::mayStartExchange(HttpClientConnection& httpConnection) {
   EndpointConnection& connection = endpointConnection(httpConnection);
-  // Until the connection is busy, its request waits for the journal.
-  if (connection.isHealthCheck() || !connection.isBusy()) return true;
-  for (BatchedAttempt& attempt : connection.attempts()) {
-    if (attempt.isFinished() || policy_.mayStartAttempt(attempt.message, attempt.attempt)) continue;
-    finishAttempt(connection, attempt, {AttemptOutcome::notSent});
-  }
-  connection.removeFinishedAttempts();
-  if (connection.attempts().empty()) {
-    release(connection, CloseCause::notSent);
-    return false;
-  }
-  writeRequest(connection);
-  pool_.update(connection);
-  return true;
+  return connection.isHealthCheck() || prepareRequest(connection);
 }
 
 // A request counts as executed from its last byte. An endpoint may read a retry so slowly that its
@@ -381,7 +398,7 @@
   AttemptOutcome outcome = AttemptOutcome::localResourceExhausted;
   if (connection.startFailure() == EndpointConnection::StartFailure::localResources) {
     log_.attemptResourceExhausted(connection);
-  } else if (connection.hasUnsentAttempts()) {
+  } else if (connection.hasUnsentAttempts() && connection.exchangeCount() > 0) {
     outcome = AttemptOutcome::notSent;
   } else {
     outcome = outcomeWithoutResponse(connection, AttemptOutcome::reset);
@@ -418,8 +435,11 @@
       connection.isBusy() && connection.responseDueAt() && loop_.now() >= *connection.responseDueAt();
   bool isConnectOverdue = loop_.now() >= pool_.connectDeadline(connection);
   if (connection.hasFailedToStart() || isResponseOverdue || isConnectOverdue) return onBroken(connection);
-  if (connection.hasUnsentAttempts()) return sendBatch(connection);
-  if (!connection.isBusy()) {
+  if (connection.hasUnsentAttempts()) {
+    prepareRequest(connection);
+    return;
+  }
+  if (!connection.hasRequest()) {
     if (auto cause = connection.retirementCause()) return pool_.closeIdleConnection(connection, *cause);
     if (loop_.now() >= pool_.idleDeadline(connection)) {
       return pool_.closeIdleConnection(connection, CloseCause::idleTooLong);
@@ -471,6 +491,7 @@
 }
 
 void AttemptSender::release(EndpointConnection& connection, CloseCause cause) {
+  std::erase(readyForRequest_, &connection);
   std::erase(awaitingCommit_, &connection);
   for (const BatchedAttempt& attempt : connection.attempts()) {
     connectionOfAttempt_.erase({attempt.message, attempt.attempt});
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -25,10 +25,12 @@
 // Sends attempts and health checks to endpoints over HTTP/1.1, and records their outcomes in the policy and
 // the message store.
 //
-// Steps of an attempt: sendAttempt() gathers the attempts of one request, recordBatches() assigns a
-// connection to the request and records its attempts in the store, and sendBatches() sends the request once
-// the journal holds the records. The request is composed when the connection is established, and the policy
-// is asked again before the first and before every later part of the request is sent. The outcome is recorded
+// Steps of an attempt: sendAttempt() gathers the attempts of one request. recordRequests() assigns a
+// connection to the request, and records the attempts in the store as soon as the connection is ready to
+// carry it: a new one once it is established, a kept one once it may be reused. sendRequests() composes and
+// sends the requests whose records the journal holds. So the next process knows of each attempt that may have
+// been executed, and of no attempt whose request had not begun. The policy is asked again once the connection
+// is ready, before the first and before every later part of the request is sent. The outcome is recorded
 // exactly once.
 //
 // Must be used on the event loop's thread only. Times are milliseconds of the event loop's clock.
@@ -42,7 +44,8 @@
   AttemptSender(const AttemptSender&) = delete;
   AttemptSender& operator=(const AttemptSender&) = delete;
 
-  // Gathers an attempt that was just decided, for recordBatches(). Attempts of one request are sent together.
+  // Gathers an attempt that was just decided, for recordRequests(). Attempts of one request are sent
+  // together.
   void sendAttempt(const SendAttempt& decision);
   // Ends an attempt. In a batch, the cancellation may have to wait for the outcomes of the other attempts;
   // the policy is notified once the attempt has ended. Does nothing if the outcome was already recorded, or
@@ -53,11 +56,12 @@
   void sendHealthCheck(EndpointId endpoint);
   // Closes all idle connections to an endpoint.
   void closeIdleConnection(EndpointId endpoint);
-  // Assigns the gathered requests to connections and records their attempts in the store. Must be called
-  // before the store's commit begins.
-  void recordBatches();
+  // Assigns the gathered requests to connections, and records in the store the attempts of all requests whose
+  // connections are ready. Must be called in each turn in which no commit of the store is in progress, before
+  // the next one begins.
+  void recordRequests();
   // Sends the recorded requests. Must be called once that commit is done.
-  void sendBatches();
+  void sendRequests();
 
   // Handles time-outs, and connections that cannot be established.
   void onTick();
@@ -78,9 +82,11 @@
   void onResponse(HttpClientConnection& httpConnection) override;
   void onBroken(HttpClientConnection& httpConnection) override;
 
-  void recordBatch(Batch batch);
+  void assignConnection(Batch batch);
+  bool prepareRequest(EndpointConnection& connection);
   void recordInStore(EndpointConnection& connection);
-  void sendBatch(EndpointConnection& connection);
+  void sendRequest(EndpointConnection& connection);
+  void abandonUnusable(EndpointConnection& connection);
   bool isStillSendable(const EndpointConnection& connection) const;
   void recordDelayedSend(EndpointConnection& connection);
   void writeRequest(EndpointConnection& connection);
@@ -117,9 +123,11 @@
   // The pointers in the next two members refer to connections of the pool; release() removes them.
   // The connection of each attempt whose outcome was not recorded yet.
   std::map<std::pair<MessageId, int>, EndpointConnection*> connectionOfAttempt_;
+  // Connections that are ready for their requests, whose attempts are not recorded in the store yet.
+  std::vector<EndpointConnection*> readyForRequest_;
   // Connections whose requests were recorded in the store and wait for its commit, in the order of sending.
   std::vector<EndpointConnection*> awaitingCommit_;
-  // Attempts that were decided since the last recordBatches(), by the id of their request.
+  // Attempts that were decided since the last recordRequests(), by the id of their request.
   std::map<int, Batch> gatheredBatches_;
 };
 
--- a/src/delivery/connection_pool.cpp
+++ b/src/delivery/connection_pool.cpp
@@ -157,6 +157,8 @@
   leastRecentlyUsed_.insert({connection.lastUsedAt_, &connection});
 }
 
+void ConnectionPool::suspend(EndpointConnection& connection) { removeFromIndexes(connection); }
+
 void ConnectionPool::recordUse(EndpointConnection& connection) {
   removeFromIndexes(connection);  // while lastUsedAt_ still is the key in the indexes
   connection.lastUsedAt_ = loop_.now();
@@ -193,8 +195,9 @@
   if (connection.hasFailedToStart()) return 0;
   if (connection.hasUnsentAttempts()) return connection.reusableAt();
   if (connection.retirementCause_) return connection.confirmedAt();
-  if (!connection.isBusy() && loop_.now() < connection.heldUntil()) return connection.heldUntil();
-  if (!connection.isBusy()) return idleDeadline(connection);
+  if (!connection.hasRequest()) {
+    return loop_.now() < connection.heldUntil() ? connection.heldUntil() : idleDeadline(connection);
+  }
   Millis due = connectDeadline(connection);
   if (connection.isHealthCheck()) due = std::min(due, healthCheckDeadline(connection));
   if (connection.responseDueAt()) due = std::min(due, *connection.responseDueAt());
@@ -205,7 +208,8 @@
 }
 
 Millis ConnectionPool::connectDeadline(const EndpointConnection& connection) const {
-  return connection.isBusy() && !connection.isConnected() ? connection.sentAt() + connectTimeout_ : kNever;
+  return connection.hasRequest() && !connection.isConnected() ? connection.sentAt() + connectTimeout_
+                                                              : kNever;
 }
 
 Millis ConnectionPool::healthCheckDeadline(const EndpointConnection& connection) const {
--- a/src/delivery/connection_pool.h
+++ b/src/delivery/connection_pool.h
@@ -27,7 +27,7 @@
 // Owns the connections to all endpoints, and knows when each of them needs attention next.
 //
 // A connection is in the list `connections_` from acquire() to release(), and in the indexes as follows:
-// - It is in no index between acquire() and the next update(): its caller is about to use it.
+// - It is in no index between acquire() or suspend() and the next update(): its caller is about to use it.
 // - From update() on it is in `dueTimes_`, under the value of dueAt() at that call.
 // - If it was connected, not busy, not held back and had not failed at that call, it is in
 //   `idleByEndpoint_` and `leastRecentlyUsed_` too. Idle connections have no attempts and carry no health
@@ -66,6 +66,8 @@
 
   // Updates the index entries of a connection. Must be called after a change on which its due time depends.
   void update(EndpointConnection& connection);
+  // Removes a connection from all indexes until update() or release(): it is never due meanwhile.
+  void suspend(EndpointConnection& connection);
   // Records that a response ended just now. The connection is in no index until update() or release().
   void recordUse(EndpointConnection& connection);
 
--- a/src/delivery/endpoint_connection.h
+++ b/src/delivery/endpoint_connection.h
@@ -67,6 +67,8 @@
                                              [](const BatchedAttempt& each) { return each.isFinished(); });
   }
 
+  // Whether it carries a request, which may not have begun yet.
+  bool hasRequest() const { return isBusy() || !attempts_.empty(); }
   // Whether it is connected and carries attempts whose request has not begun: it waits for the journal, or
   // for the time from which the connection may be reused.
   bool hasUnsentAttempts() const { return isConnected() && !isBusy() && !attempts_.empty(); }
@@ -92,9 +94,12 @@
   bool isHealthCheck() const { return isHealthCheck_; }
 
   // When the current request was sent, or when it was decided if it still waits for the journal or the
-  // connection.
+  // connection. On a new connection, the time in which it is established counts as a part of the request.
   Millis sentAt() const { return sentAt_; }
   void setSentAt(Millis now) { sentAt_ = now; }
+  // When the connection became ready to carry the current request, which then waits for the journal alone.
+  Millis readyAt() const { return readyAt_; }
+  void setReadyAt(Millis now) { readyAt_ = now; }
 
   // When the current request, or the last one, began to be written; 0 before the first one.
   Millis writtenAt() const { return writtenAt_; }
@@ -120,6 +125,7 @@
   std::vector<BatchedAttempt> attempts_;
   StartFailure startFailure_{StartFailure::none};
   Millis sentAt_{0};
+  Millis readyAt_{0};
   Millis writtenAt_{0};
   Millis confirmedAt_{0};
   Millis heldUntil_{0};
--- a/src/dispatcher/decision_executor.cpp
+++ b/src/dispatcher/decision_executor.cpp
@@ -30,7 +30,6 @@
     hasMore_ = true;
     break;
   }
-  sender_.recordBatches();
 }
 
 bool DecisionExecutor::takeDueTimer(Millis now) {
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -107,6 +107,7 @@
 void Dispatcher::commitAndDecide() {
   if (server_.clientsWithReplies() >= kClientsForEarlyCommit || store_.isCommitting()) committer_.commit();
   if (mayDecideNow()) decisions_.executeDecisions();
+  if (!store_.isCommitting()) sender_.recordRequests();
   committer_.commit();
 }
 
--- a/src/dispatcher/journal_committer.cpp
+++ b/src/dispatcher/journal_committer.cpp
@@ -56,7 +56,7 @@
     policy_.beginRound(loop_.now());
     discovery_.readPending();
   }
-  sender_.sendBatches();
+  sender_.sendRequests();
   server_.sendReplies([this](MessageId id) { return store_.isAcceptanceDecided(id); },
                       [this](MessageId id) { return replacementReply(id); });
   store_.clearLost();
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -16,6 +16,12 @@
 // The timeout of one wait for a commit; the wait is repeated until the commit has ended.
 constexpr Millis kCommitWaitMs = 1000;
 
+// The end of the attempts if the request of the attempt has not begun.
+std::vector<AttemptRecord>::iterator findAttempt(StoredMessage& message, int number) {
+  return std::find_if(message.attempts.begin(), message.attempts.end(),
+                      [&](const AttemptRecord& attempt) { return attempt.number == number; });
+}
+
 }  // namespace
 
 MessageStore::MessageStore(const NameTables& names, const std::string& folder, std::size_t maxBytes,
@@ -80,7 +86,9 @@
 
 void MessageStore::replayAttempted(MessageId id, AttemptedRecord record) {
   StoredMessage* message = live_.find(id);
-  if (message != nullptr) message->attempts.push_back(std::move(record.attempt));
+  if (message == nullptr) return;
+  record.attempt.number = static_cast<int>(message->attempts.size());
+  message->attempts.push_back(std::move(record.attempt));
 }
 
 void MessageStore::replayNotExecuted(MessageId id, NotExecutedRecord record) {
@@ -103,39 +111,35 @@
   return id;
 }
 
-bool MessageStore::recordAttempt(MessageId id, const EndpointRecord& endpoint, Millis sentWall) {
-  StoredMessage* message = live_.find(id);
-  if (message == nullptr) return false;
-  AttemptRecord attempt{endpoint, sentWall, false};
-  std::string record = encodeAttempted(id, attempt);
+bool MessageStore::recordAttempt(MessageId id, int attempt, const EndpointRecord& endpoint, Millis sentWall) {
+  if (live_.find(id) == nullptr) return false;
+  AttemptRecord stored{attempt, endpoint, sentWall};
+  std::string record = encodeAttempted(id, stored);
   // Space is made before the attempt is added: a compaction for this space must not include the attempt,
   // since the record of the attempt is appended after it.
   makeSpace(record.size() + kJournalFrameBytes);
   // Making space may commit, and a commit that a full disk cuts short removes the messages that it could not
   // write.
-  message = live_.find(id);
+  StoredMessage* message = live_.find(id);
   if (message == nullptr) return false;
-  message->attempts.push_back(std::move(attempt));
-  int number = static_cast<int>(message->attempts.size()) - 1;
-  if (append(std::move(record), {RecordTag::attempted, id, number})) return true;
-  // The attempt keeps its number, since the decision module has counted it.
-  message->attempts.back().provablyNotExecuted = true;
-  message->attempts.back().journaled = false;
-  return false;
+  stored.journaled = append(std::move(record), {RecordTag::attempted, id, attempt});
+  stored.provablyNotExecuted = !stored.journaled;
+  message->attempts.push_back(std::move(stored));
+  return message->attempts.back().journaled;
 }
 
 void MessageStore::recordNotExecuted(MessageId id, int attempt) {
   StoredMessage* message = live_.find(id);
-  auto number = static_cast<std::uint32_t>(attempt);
-  if (message == nullptr || number >= message->attempts.size()) return;
-  message->attempts[number].provablyNotExecuted = true;
-  if (!message->attempts[number].journaled) return;
+  if (message == nullptr) return;
+  auto found = findAttempt(*message, attempt);
+  if (found == message->attempts.end()) return;
+  found->provablyNotExecuted = true;
+  if (!found->journaled) return;
   // Replay numbers attempts by their records in the journal. If this record used the number in memory, an
   // attempt missing from the journal would shift the numbers, and another attempt, which may have been
   // executed, would count as not executed.
-  auto first = message->attempts.begin();
-  auto journaledBefore =
-      std::count_if(first, first + attempt, [](const AttemptRecord& earlier) { return earlier.journaled; });
+  auto journaledBefore = std::count_if(message->attempts.begin(), found,
+                                       [](const AttemptRecord& earlier) { return earlier.journaled; });
   NotExecutedRecord record{static_cast<std::uint32_t>(journaledBefore)};
   makeSpaceAndAppend(encodeNotExecuted(id, record), {RecordTag::notExecuted, id});
 }
@@ -257,9 +261,10 @@
   lostAttempts_.insert({record.message, *record.attempt});
   StoredMessage* message = live_.find(record.message);
   if (message == nullptr) return;
-  AttemptRecord& attempt = message->attempts[static_cast<std::size_t>(*record.attempt)];
-  attempt.provablyNotExecuted = true;
-  attempt.journaled = false;
+  auto attempt = findAttempt(*message, *record.attempt);
+  if (attempt == message->attempts.end()) return;
+  attempt->provablyNotExecuted = true;
+  attempt->journaled = false;
 }
 
 // Whether the compacted file holds the state of the message that includes this record.
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -50,12 +50,14 @@
   // Adds a message. Returns no value if the journal has no space for it. The message counts as accepted only
   // after a commit has written its record.
   std::optional<MessageId> accept(StoredMessage message);
-  // Records that an attempt is to be sent. Returns false if the attempt could not be recorded; the attempt
-  // must then not be sent. After true, the next commit writes the record, and isLostAttempt() returns whether
-  // that failed. The attempt has a number in both cases.
-  bool recordAttempt(MessageId id, const EndpointRecord& endpoint, Millis sentWall);
-  // Records that an attempt was provably not executed. If that cannot be written, the next process assumes
-  // that the attempt may have been executed.
+  // Records that the request of an attempt is about to begin: from now on it may have been executed. Must be
+  // called right before its first byte, since the next process fails a message that may not be executed
+  // twice. Returns false if the attempt could not be recorded; the attempt must then not be sent. After true,
+  // the next commit writes the record, and isLostAttempt() returns whether that failed. `attempt`: its number
+  // among those of the message, from 0.
+  bool recordAttempt(MessageId id, int attempt, const EndpointRecord& endpoint, Millis sentWall);
+  // Records that an attempt was provably not executed. Does nothing if its request has not begun. If it
+  // cannot be written, the next process assumes that the attempt may have been executed.
   void recordNotExecuted(MessageId id, int attempt);
   // Records that the message is finished and needs no notification.
   void recordDelivered(MessageId id);
--- a/src/storage/stored_message.h
+++ b/src/storage/stored_message.h
@@ -19,10 +19,12 @@
   ZoneId zone{};
 };
 
-// One attempt to deliver a message: the fields of its journal record, and whether that record exists.
+// One attempt to deliver a message whose request began or may have begun: the fields of its journal record,
+// and whether that record exists.
 struct AttemptRecord {
+  int number{};  // the attempt's number among those of its message, from 0
   EndpointRecord endpoint;
-  Millis sentWall{};  // wall time at which the attempt was passed to the sender
+  Millis sentWall{};  // wall time right before its request began
   bool provablyNotExecuted{false};
   // False if the journal could not store the attempt's record. Such an attempt was never sent, and replay
   // does not count it.
@@ -39,7 +41,7 @@
   OrderingKey orderingKey{};
   DestinationId destination{};
   Millis deadlineWall{};
-  std::vector<AttemptRecord> attempts;  // an attempt's number is its index
+  std::vector<AttemptRecord> attempts;  // in the order in which their requests began
   std::string acceptedFields;           // part of its journal record: key, reference and field list
 };
 
--- a/tests/delivery/attempt_sender_test.cpp
+++ b/tests/delivery/attempt_sender_test.cpp
@@ -103,6 +103,40 @@
   EXPECT_TRUE(harness.receiveUpTo("\r\n\r\nx"));
 }
 
+// A dispatcher was killed while requests waited for their connections. The next one counted them as possibly
+// executed, and gave up messages that had never been sent.
+TEST(AttemptSender, JournalsAnAttemptOnlyOnceItsConnectionIsReady) {
+  AttemptSenderHarness harness;
+  harness.accept("one", "order", 9000);
+  harness.sendDecided();
+  EXPECT_TRUE(harness.storedAttemptsOf("one").empty());  // the connection is not established yet
+  ASSERT_TRUE(harness.receiveUpTo("\r\n\r\nx"));
+  EXPECT_EQ(harness.storedAttemptsOf("one").size(), 1u);
+  ASSERT_TRUE(harness.respondAndFinishAll());
+  harness.accept("two", "order", 9000);
+  harness.received.clear();
+  harness.sendDecided();
+  harness.turnFor(20);
+  EXPECT_TRUE(harness.storedAttemptsOf("two").empty());  // the kept connection may not be reused yet
+  ASSERT_TRUE(harness.receiveUpTo("\r\n\r\nx"));
+  EXPECT_EQ(harness.storedAttemptsOf("two").size(), 1u);
+}
+
+// An endpoint that closes each new connection at once counts as unreachable. Otherwise the message would use
+// up its attempts within milliseconds.
+TEST(AttemptSender, CountsAConnectionThatEndsBeforeItsFirstRequestAsFailed) {
+  AttemptSenderHarness harness;
+  harness.accept("one", "order", 9000);
+  harness.sendDecided();
+  pollfd waiting{harness.listener, POLLIN, 0};
+  ASSERT_EQ(::poll(&waiting, 1, 1000), 1);
+  ::close(::accept(harness.listener, nullptr, nullptr));
+  std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  ASSERT_TRUE(harness.turnUntil([&] { return !harness.isPending("one"); }));
+  EXPECT_TRUE(harness.attemptsOf("one").at(0).provablyNotExecuted);
+  EXPECT_GT(harness.policy.state().endpoints.begin()->second.failures.consecutiveFailures(), 0);
+}
+
 // A retry whose last bytes are sent after the deduplication window would be executed a second time: by then
 // the endpoint has forgotten the first attempt.
 TEST(AttemptSender, AbortsAHalfWrittenRetryWhenItsDeduplicationWindowCloses) {
--- a/tests/dispatcher/restart_test.cpp
+++ b/tests/dispatcher/restart_test.cpp
@@ -67,6 +67,26 @@
   EXPECT_EQ(reports, reportsBefore);
 }
 
+// A kill right behind the reply that accepts a message, while its request waits until the kept connection may
+// be reused. The next process gave up messages that may not be executed twice, though none had been sent.
+TEST(Restart, AttemptsMessagesWhoseRequestsHadNotBegunAtTheKill) {
+  HttpServerStub endpoint([](auto&, auto&) { return kHttpOk; });
+  HttpServerStub platform(confirmNotifications);
+  endpoint.start();
+  platform.start();
+  DispatcherProcess dispatcher(kDispatcherSettings, endpointList(endpoint), platform.address());
+  ASSERT_TRUE(dispatcher.start());
+  EXPECT_EQ(dispatcher.request(submitCommand("first", "c=order,d=8000,dest=7")), "+OK\r\n");
+  ASSERT_TRUE(eventually(2000, [&] { return endpoint.requests().size() == 1; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));  // until the response is read
+  EXPECT_EQ(dispatcher.request(submitCommand("second", "c=order,d=8000,dest=7")), "+OK\r\n");
+  EXPECT_EQ(dispatcher.stop(SIGKILL), -SIGKILL);
+  ASSERT_EQ(endpoint.requests().size(), 1u);
+  ASSERT_TRUE(dispatcher.start());
+  EXPECT_TRUE(eventually(2000, [&] { return endpoint.requestsContaining("X-Request-Id: second") == 1; }));
+  EXPECT_EQ(platform.requestsContaining("second"), 0u);
+}
+
 // The wall clock is set back while no process runs, so that the send time of an attempt lies in the future.
 // Guards against a deduplication window that is extended by as much.
 TEST(Restart, TreatsDeduplicationWindowsAsClosedWhenTheClockWasSetBack) {
@@ -83,7 +103,7 @@
       NameTables names = readNameTables(settings);
       MessageStore store(names, dispatcher.directory().string(), 3'000'000);
       auto id = store.accept(store.decode("00", reference, "c=order,d=8000,dest=7,k=5c", "x", wallNow()));
-      store.recordAttempt(*id, {"s-1", DestinationId{7}, KindId{0}, ZoneId{0}}, wallNow() + ahead);
+      store.recordAttempt(*id, 0, {"s-1", DestinationId{7}, KindId{0}, ZoneId{0}}, wallNow() + ahead);
       store.commit();
     }
     ASSERT_TRUE(dispatcher.start());
@@ -111,7 +131,7 @@
         auto id = store.accept(store.decode("00", reference, "c=order,d=60000,dest=7", "x", wallNow()));
         ASSERT_TRUE(id.has_value());
         std::string name = "gone-" + std::to_string(n % 1024);
-        store.recordAttempt(*id, {name, DestinationId{7}, KindId{0}, ZoneId{0}}, wallNow());
+        store.recordAttempt(*id, 0, {name, DestinationId{7}, KindId{0}, ZoneId{0}}, wallNow());
         store.recordNotExecuted(*id, 0);
       }
       store.commit();
--- a/tests/storage/journal_compatibility_test.cpp
+++ b/tests/storage/journal_compatibility_test.cpp
@@ -93,9 +93,9 @@
   MessageId confirmed = accept("00", "confirmed-5", "c=order,d=500,dest=9", "x", 1764700000004);
   accept("ffffffffffffffff", "in-flight-6", "c=status,d=1.5,dest=65535", "", 1764700000005);
   store.commit();
-  store.recordAttempt(attempted, {"s-1", DestinationId{7}, KindId{1}, ZoneId{0}}, 1764700000100.5);
-  store.recordAttempt(attempted, {"s-2", DestinationId{8}, KindId{0}, ZoneId{1}}, 1764700000200.75);
-  store.recordAttempt(delivered, {"s-3", DestinationId{9}, KindId{0}, ZoneId{0}}, 1764700000300);
+  store.recordAttempt(attempted, 0, {"s-1", DestinationId{7}, KindId{1}, ZoneId{0}}, 1764700000100.5);
+  store.recordAttempt(attempted, 1, {"s-2", DestinationId{8}, KindId{0}, ZoneId{1}}, 1764700000200.75);
+  store.recordAttempt(delivered, 0, {"s-3", DestinationId{9}, KindId{0}, ZoneId{0}}, 1764700000300);
   store.recordNotExecuted(attempted, 0);
   store.commit();
   store.recordDelivered(delivered);
--- a/tests/storage/lost_acceptance_test.cpp
+++ b/tests/storage/lost_acceptance_test.cpp
@@ -50,7 +50,7 @@
     FileSizeLimit limit(std::filesystem::file_size(fixture.directory.path / "journal") + 20);
     std::optional<MessageId> message = fixture.accept("message", bodyBytes);
     if (!message) continue;
-    bool recorded = fixture.store.recordAttempt(*message, {std::string(90, 'e'), {}, {}, {}}, 1);
+    bool recorded = fixture.store.recordAttempt(*message, 0, {std::string(90, 'e'), {}, {}, {}}, 1);
     if (fixture.store.find(*message) != nullptr) continue;
     ++lost;
     EXPECT_FALSE(recorded) << bodyBytes;
--- a/tests/storage/message_store_restart_test.cpp
+++ b/tests/storage/message_store_restart_test.cpp
@@ -29,6 +29,13 @@
   return content.str();
 }
 
+// Requests may begin in another order than that of their attempts: the numbers are 1, 0, 3, 2 and so on.
+void recordNextAttempt(MessageStore& store, MessageId id, Millis sentWall) {
+  const StoredMessage* message = store.find(id);
+  int number = message == nullptr ? 0 : static_cast<int>(message->attempts.size()) ^ 1;
+  store.recordAttempt(id, number, {"s-1", DestinationId{7}, {}, {}}, sentWall);
+}
+
 // Each test runs once with a journal written by the calling thread and once with the background writer. With
 // the background writer, further changes are recorded while a commit is in progress.
 class MessageStoreRestart : public ::testing::TestWithParam<JournalWriter> {};
@@ -52,7 +59,7 @@
     auto anyInFlight = [&] { return any(fixture.store.inFlight()); };
     auto action = random() % 7;
     if (action < 2) fixture.accept("c" + std::to_string(step), 50 + random() % 5000);
-    if (action == 2) fixture.store.recordAttempt(anyInFlight(), {"s-1", DestinationId{7}, {}, {}}, step);
+    if (action == 2) recordNextAttempt(fixture.store, anyInFlight(), step);
     if (action == 3) fixture.store.recordNotExecuted(anyInFlight(), static_cast<int>(random() % 3));
     if (action == 4) fixture.store.recordDelivered(anyInFlight());
     if (action == 5) fixture.store.addPendingNotification(anyInFlight(), FinalOutcome::shed, step);
--- a/tests/storage/message_store_test.cpp
+++ b/tests/storage/message_store_test.cpp
@@ -35,8 +35,8 @@
   auto shed = fixture.accept("shed");
   auto confirmed = fixture.accept("confirmed");
   EndpointRecord endpoint{"s-1", DestinationId{7}, KindId{1}, ZoneId{0}};
-  ASSERT_TRUE(fixture.store.recordAttempt(*inFlight, endpoint, 1234));
-  ASSERT_TRUE(fixture.store.recordAttempt(*inFlight, endpoint, 1300));
+  ASSERT_TRUE(fixture.store.recordAttempt(*inFlight, 0, endpoint, 1234));
+  ASSERT_TRUE(fixture.store.recordAttempt(*inFlight, 1, endpoint, 1300));
   fixture.store.recordNotExecuted(*inFlight, 0);
   fixture.store.recordDelivered(*delivered);
   fixture.store.addPendingNotification(*shed, FinalOutcome::shed, 250);
@@ -76,7 +76,7 @@
       ++rejected;
     }
     if (inFlight.size() > 5 || (!inFlight.empty() && rejected > 0 && n % 3 == 0)) {
-      EXPECT_TRUE(fixture.store.recordAttempt(inFlight.front(), {"s-1", {}, {}, {}}, n));
+      EXPECT_TRUE(fixture.store.recordAttempt(inFlight.front(), 0, {"s-1", {}, {}, {}}, n));
       fixture.store.recordDelivered(inFlight.front());
       inFlight.erase(inFlight.begin());
     }
@@ -104,15 +104,15 @@
   limitFileSize(std::filesystem::file_size(fixture.directory.path / "journal") + 300);
   auto large = fixture.accept("large", 2000);
   auto small = fixture.accept("small", 10);
-  ASSERT_TRUE(fixture.store.recordAttempt(*first, {std::string(400, 'e'), {}, {}, {}}, 1));
+  ASSERT_TRUE(fixture.store.recordAttempt(*first, 0, {std::string(400, 'e'), {}, {}, {}}, 1));
   fixture.store.commit();
   limitFileSize(0);
   EXPECT_TRUE(fixture.store.isLostAcceptance(*large));
   EXPECT_FALSE(fixture.store.isLostAcceptance(*small));
   EXPECT_TRUE(fixture.store.isLostAttempt(*first, 0));
   EXPECT_EQ(fixture.store.find(*large), nullptr);
-  ASSERT_TRUE(fixture.store.recordAttempt(*first, {"s-1", {}, {}, {}}, 2));
-  ASSERT_TRUE(fixture.store.recordAttempt(*first, {"s-2", {}, {}, {}}, 3));
+  ASSERT_TRUE(fixture.store.recordAttempt(*first, 1, {"s-1", {}, {}, {}}, 2));
+  ASSERT_TRUE(fixture.store.recordAttempt(*first, 2, {"s-2", {}, {}, {}}, 3));
   fixture.store.recordNotExecuted(*first, 0);
   fixture.store.recordNotExecuted(*first, 2);
   fixture.store.commit();
--- a/tests/support/attempt_sender_harness.h
+++ b/tests/support/attempt_sender_harness.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -110,10 +111,15 @@
     beginRound(5);
   }
 
+  // A turn without decisions. Requests whose connections became ready are journaled and sent, as the
+  // dispatcher does.
   void turn() {
     beginRound(5);
     loop.dispatch();
     sender.onTick();
+    sender.recordRequests();
+    store.commit();
+    sender.sendRequests();
   }
 
   // Turns the loop for so many milliseconds.
@@ -152,11 +158,11 @@
         sender.cancelAttempt(*cancel);
       }
     }
-    sender.recordBatches();
+    sender.recordRequests();
     store.commit();
     duringCommit();
     if (loop.refreshTime(5)) policy.beginRound(loop.now());
-    sender.sendBatches();
+    sender.sendRequests();
   }
 
   // Returns whether the endpoint receives bytes that end with `lastBytes`, or at least `byteCount` bytes.
@@ -179,6 +185,15 @@
     return policy.state().messages.at(ids.at(reference)).attempts;
   }
 
+  // The attempts of a message that a process would find in the journal after a kill at this moment.
+  std::vector<AttemptRecord> storedAttemptsOf(const std::string& reference) const {
+    TemporaryDirectory copy;
+    std::filesystem::copy(directory.path / "journal", copy.path / "journal");
+    MessageStore restored(names, copy.path.string(), maxJournalBytes);
+    restored.restore();
+    return restored.find(restored.idOf(reference))->attempts;
+  }
+
   // Whether the first attempt of a message is pending.
   bool isPending(const std::string& reference) const {
     const auto& messages = policy.state().messages;
