Delivery: recording attempts before their requests begin has a class of its own

RequestJournal keeps the connections that are ready for their requests and those whose records wait for the commit, records the attempts, and notices records that were lost.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -37,6 +37,7 @@
       log_(discovery),
       recorder_(loop, policy, store, names, log_),
       confirmer_(loop, policy, store, recorder_, log_),
+      requestJournal_(store, discovery),
       pool_(loop, *this, policy, settings, names, {maxConnections, maxHealthChecks}, log_) {}
 
 void AttemptSender::sendAttempt(const SendAttempt& decision) {
@@ -51,10 +52,7 @@
 
 void AttemptSender::recordRequests() {
   for (auto& [request, batch] : std::exchange(gatheredBatches_, {})) assignConnection(std::move(batch));
-  for (EndpointConnection* connection : std::exchange(readyForRequest_, {})) {
-    recordInStore(*connection);
-    awaitingCommit_.push_back(connection);
-  }
+  requestJournal_.recordReady();
 }
 
 void AttemptSender::assignConnection(Batch batch) {
@@ -78,7 +76,7 @@
   bool isReady = connection.isConnected() && !connection.isWaitingForQuiet(loop_.now());
   if (!isReady) return pool_.update(connection);
   connection.setReadyAt(loop_.now());
-  readyForRequest_.push_back(&connection);
+  requestJournal_.add(connection);
 }
 
 // Called once the connection is ready, which may be long after its request was decided. By then the endpoint
@@ -96,36 +94,17 @@
   }
   connection.setReadyAt(loop_.now());
   pool_.suspend(connection);
-  readyForRequest_.push_back(&connection);
+  requestJournal_.add(connection);
   return true;
 }
 
-// An attempt is recorded before its first byte is sent, since after a kill it may have been executed. One
-// that cannot be recorded is not sent. An attempt that still waits for its connection is not recorded: after
-// a kill it would count as possibly executed, and a message that may not be executed twice would be given up.
-void AttemptSender::recordInStore(EndpointConnection& connection) {
-  const DiscoveredEndpoint* endpoint = discovery_.find(connection.endpoint());
-  for (const BatchedAttempt& attempt : connection.attempts()) {
-    bool isRecorded = endpoint != nullptr && !attempt.isFinished() &&
-                      store_.recordAttempt(attempt.message, attempt.attempt, endpoint->record, wallNow());
-    if (!isRecorded && !attempt.isFinished()) {
-      connection.setStartFailure(EndpointConnection::StartFailure::localResources);
-    }
-  }
-}
-
 void AttemptSender::sendRequests() {
-  for (EndpointConnection* connection : std::exchange(awaitingCommit_, {})) sendRequest(*connection);
+  for (EndpointConnection* connection : requestJournal_.takeCommitted()) sendRequest(*connection);
 }
 
 void AttemptSender::sendRequest(EndpointConnection& connection) {
   connection.removeFinishedAttempts();
   if (connection.attempts().empty()) return release(connection, CloseCause::cancelled);
-  for (const BatchedAttempt& attempt : connection.attempts()) {
-    if (store_.find(attempt.message) == nullptr || store_.isLostAttempt(attempt.message, attempt.attempt)) {
-      connection.setStartFailure(EndpointConnection::StartFailure::localResources);
-    }
-  }
   if (!connection.hasFailedToStart()) {
     if (!connection.isReusable()) return abandonUnusable(connection);
     if (!isStillSendable(connection)) {
@@ -491,8 +470,7 @@
 }
 
 void AttemptSender::release(EndpointConnection& connection, CloseCause cause) {
-  std::erase(readyForRequest_, &connection);
-  std::erase(awaitingCommit_, &connection);
+  requestJournal_.remove(connection);
   for (const BatchedAttempt& attempt : connection.attempts()) {
     connectionOfAttempt_.erase({attempt.message, attempt.attempt});
   }
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -12,6 +12,7 @@
 #include "delivery/endpoint_connection.h"
 #include "delivery/load_report.h"
 #include "delivery/outcome_recorder.h"
+#include "delivery/request_journal.h"
 #include "delivery/response_confirmer.h"
 #include "delivery/response_reader.h"
 #include "discovery/discovery_client.h"
@@ -84,7 +85,6 @@
 
   void assignConnection(Batch batch);
   bool prepareRequest(EndpointConnection& connection);
-  void recordInStore(EndpointConnection& connection);
   void sendRequest(EndpointConnection& connection);
   void abandonUnusable(EndpointConnection& connection);
   bool isStillSendable(const EndpointConnection& connection) const;
@@ -119,14 +119,10 @@
   DeliveryLog log_;
   OutcomeRecorder recorder_;
   ResponseConfirmer confirmer_;
+  RequestJournal requestJournal_;  // holds pointers to connections of the pool; release() removes them
   ConnectionPool pool_;
-  // The pointers in the next two members refer to connections of the pool; release() removes them.
-  // The connection of each attempt whose outcome was not recorded yet.
+  // The connection, in the pool, of each attempt whose outcome was not recorded yet; release() removes it.
   std::map<std::pair<MessageId, int>, EndpointConnection*> connectionOfAttempt_;
-  // Connections that are ready for their requests, whose attempts are not recorded in the store yet.
-  std::vector<EndpointConnection*> readyForRequest_;
-  // Connections whose requests were recorded in the store and wait for its commit, in the order of sending.
-  std::vector<EndpointConnection*> awaitingCommit_;
   // Attempts that were decided since the last recordRequests(), by the id of their request.
   std::map<int, Batch> gatheredBatches_;
 };
