--- a/src/policy/windowed_minimum.h
+++ b/src/policy/windowed_minimum.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 #include "base/ids.h"
@@ -16,25 +17,27 @@
   explicit WindowedMinimum(Millis period) : period_(period) {}
 
   void add(Millis value, Millis now) {
-    if (!current_ || now >= periodBeganAt_ + period_) {
+    if (current_ == kNone || now >= periodBeganAt_ + period_) {
       previous_ = current_;
-      current_.reset();
+      current_ = kNone;
       periodBeganAt_ = now;
     }
-    current_ = current_ ? std::min(*current_, value) : value;
+    current_ = std::min(current_, value);
   }
 
   // No value before the first add().
   std::optional<Millis> value() const {
-    if (current_ && previous_) return std::min(*current_, *previous_);
-    return current_;
+    if (current_ == kNone) return std::nullopt;
+    return std::min(current_, previous_);
   }
 
  private:
+  static constexpr Millis kNone = std::numeric_limits<Millis>::infinity();
+
   Millis period_;
   Millis periodBeganAt_{0};
-  std::optional<Millis> current_;
-  std::optional<Millis> previous_;
+  Millis current_{kNone};
+  Millis previous_{kNone};
 };
 
 }  // namespace stonewing
