--- a/src/lab/emulated_servers.cpp
+++ b/src/lab/emulated_servers.cpp
@@ -163,7 +163,7 @@
 
 void EmulatedServers::handleDiscovery(const ServerLocation& location, HttpServerConnection& connection,
                                       const HttpRequest& request) {
-  if (clock_.now() < discoveryUnresponsiveUntil_) return;  // the request gets no response
+  if (clock_.now() < discoveryUnresponsiveUntil_) return strikePoll(location.dispatcher, connection);
   std::string since = parameter(request.target, "since");
   if (since.empty()) {
     std::string body = endpointList(location.dispatcher);
@@ -195,10 +195,44 @@
     if (entry == entries_.end()) entry = entries_.insert(entries_.end(), {endpoint, state, version_});
     entry->state = state;
     entry->version = version_;
+    for (int d = 0; experiment_.environment.listPushed && d < experiment_.fleet.dispatchers; ++d) {
+      recordNotified(d, *entry);
+    }
     for (auto& [d, watch] : std::exchange(watches_, {})) answerWatch(d, watch.since, *watch.connection);
   });
 }
 
+void EmulatedServers::applyDiscoveryOutage(const Fault& fault, bool begins) {
+  bool isRefusing = fault.kind == FaultKind::discoveryRefusing;
+  if (begins) {
+    discoveryUnresponsiveUntil_ = fault.until;
+    discoveryOutage_ = fault.kind;
+    for (int d = 0; isRefusing && d < experiment_.fleet.dispatchers; ++d) recordPollStruck(d, fault.kind);
+    for (auto& [d, watch] : std::exchange(watches_, {})) strikePoll(d, *watch.connection);
+  }
+  if (!isRefusing) return;
+  for (auto& server : platformServers_) server->setRefusing(begins);
+}
+
+void EmulatedServers::strikePoll(int dispatcher, HttpServerConnection& connection) {
+  recordPollStruck(dispatcher, discoveryOutage_);
+  if (discoveryOutage_ == FaultKind::discoveryResetting) connection.reset();
+  if (discoveryOutage_ == FaultKind::discoveryRejecting) connection.respond(kRejection);
+}
+
+void EmulatedServers::recordPollStruck(int dispatcher, FaultKind kind) {
+  trace_.events.push_back({.at = clock_.now(),
+                           .type = TraceEventType::pollStruck,
+                           .dispatcher = static_cast<std::uint16_t>(dispatcher),
+                           .status = static_cast<std::int16_t>(kind)});
+}
+
+void EmulatedServers::forgetWatches() {
+  for (const auto& [d, watch] : std::exchange(watches_, {})) {
+    recordPollStruck(d, FaultKind::watchesForgotten);
+  }
+}
+
 void EmulatedServers::handleNotifications(HttpServerConnection& connection, const HttpRequest& request) {
   std::string_view rest = request.body;
   struct Notification {
@@ -445,7 +479,12 @@
       discoveryDelay_ = begins ? fault.factor : 0;
       return;
     case FaultKind::discoveryUnresponsive:
-      if (begins) discoveryUnresponsiveUntil_ = fault.until;
+    case FaultKind::discoveryRefusing:
+    case FaultKind::discoveryResetting:
+    case FaultKind::discoveryRejecting:
+      return applyDiscoveryOutage(fault, begins);
+    case FaultKind::watchesForgotten:
+      if (begins) forgetWatches();
       return;
     case FaultKind::kill:
     case FaultKind::stop:
--- a/src/lab/emulated_servers.h
+++ b/src/lab/emulated_servers.h
@@ -87,6 +87,11 @@
   void recordNotified(int dispatcher, const DiscoveryEntry& entry);
   void answerWatch(int dispatcher, std::int64_t since, HttpServerConnection& connection);
   void publish(std::uint32_t endpoint, EndpointState state);
+  void applyDiscoveryOutage(const Fault& fault, bool begins);
+  // Ends or drops a poll as the present outage does.
+  void strikePoll(int dispatcher, HttpServerConnection& connection);
+  void recordPollStruck(int dispatcher, FaultKind kind);
+  void forgetWatches();
   void handleNotifications(HttpServerConnection& connection, const HttpRequest& request);
   std::string entryText(int dispatcher, const DiscoveryEntry& entry) const;
   Millis oneWayDelay(const ServerLocation& location) const;
@@ -112,6 +117,7 @@
   std::uint32_t nextRequest_{1};
   Millis discoveryDelay_{0};
   Millis discoveryUnresponsiveUntil_{0};
+  FaultKind discoveryOutage_{FaultKind::discoveryUnresponsive};  // the present one, or the last
   bool acceptsUnknownMessages_{false};
 };
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -36,6 +36,10 @@
     {"table", FaultKind::connectionLimit},
     {"list-late", FaultKind::discoveryDelayed},
     {"list-silent", FaultKind::discoveryUnresponsive},
+    {"list-refuses", FaultKind::discoveryRefusing},
+    {"list-resets", FaultKind::discoveryResetting},
+    {"list-rejects", FaultKind::discoveryRejecting},
+    {"watch-forgotten", FaultKind::watchesForgotten},
     {"drain", FaultKind::drain},
     {"list-wrong", FaultKind::discoveryWrong},
     {"kill", FaultKind::kill},
@@ -286,6 +290,7 @@
   in.number("cold_s", settings.slowStartDuration, 0.01, 3600, kMillisPerSecond);
   in.number("fall_multiple", settings.overloadThreshold, 1, 100);
   in.number("fall_s", settings.overloadWindow, 0.01, 600, kMillisPerSecond);
+  in.flag("list_pushed", settings.listPushed);
   in.number("drain_grace_s", settings.drainGrace, 0, 60, kMillisPerSecond);
   in.number("answer_slack_s", settings.answerSlack, 0, 60, kMillisPerSecond);
   in.number("order_pause_s", settings.orderingPause, 0, 60, kMillisPerSecond);
@@ -422,6 +427,11 @@
 
 }  // namespace
 
+bool isDiscoveryOutage(FaultKind kind) {
+  return kind == FaultKind::discoveryUnresponsive || kind == FaultKind::discoveryRefusing ||
+         kind == FaultKind::discoveryResetting || kind == FaultKind::discoveryRejecting;
+}
+
 const char* nameOf(FaultKind kind) {
   for (const auto& [name, value] : kFaultKinds) {
     if (value == kind) return name;
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -40,6 +40,8 @@
   Millis slowStartDuration{10000};
   double overloadThreshold{2.5};
   Millis overloadWindow{1500};
+  // A change counts as notified once discovery has it, whether or not a dispatcher polls.
+  bool listPushed{false};
   Millis drainGrace{500};     // attempts may still arrive for so long after the endpoint list states draining
   Millis answerSlack{300};    // the outcome of a message may arrive so long after its deadline
   Millis orderingPause{500};  // as DeploymentSettings::orderingPause
@@ -99,6 +101,10 @@
   connectionLimit,        // the endpoint's connection table has `factor` entries
   discoveryDelayed,       // discovery publishes changes `factor` ms late
   discoveryUnresponsive,  // discovery sends no responses
+  discoveryRefusing,      // discovery's port refuses connections, and open ones are reset
+  discoveryResetting,     // discovery accepts connections and resets them without a response
+  discoveryRejecting,     // discovery answers every poll with 503
+  watchesForgotten,       // polls that discovery holds open at the beginning are never answered
   drain,                  // the endpoint list states the endpoints as draining, and as ready at the end
   discoveryWrong,         // the endpoint list has an entry of very high weight with no endpoint behind it
   kill,                   // SIGKILL of a dispatcher, which restarts at the end
@@ -122,6 +128,10 @@
   rejectedRequest,     // answers a request with 503 and does not pass it on
 };
 
+// Whether discovery cannot be reached while a fault of this kind lasts. What changes meanwhile is told at its
+// end.
+bool isDiscoveryOutage(FaultKind kind);
+
 // Whose responses a machine between servers and dispatchers alters.
 enum class ResponseSource { endpoint, discovery, platform };
 
--- a/src/lab/fault_strikes.cpp
+++ b/src/lab/fault_strikes.cpp
@@ -7,10 +7,12 @@
 std::map<FaultKind, int> faultStrikes(const Experiment& experiment, const Trace& trace) {
   std::map<FaultKind, int> strikes;
   for (const Fault& fault : experiment.faults) {
-    if (isWireFault(fault.kind)) strikes[fault.kind] = 0;
+    if (isWireFault(fault.kind) || isDiscoveryOutage(fault.kind) || fault.kind == FaultKind::watchesForgotten)
+      strikes[fault.kind] = 0;
   }
   for (const TraceEvent& event : trace.events) {
-    if (event.type == TraceEventType::responseAltered) ++strikes[static_cast<FaultKind>(event.status)];
+    if (event.type == TraceEventType::responseAltered || event.type == TraceEventType::pollStruck)
+      ++strikes[static_cast<FaultKind>(event.status)];
   }
   return strikes;
 }
--- a/src/lab/model.cpp
+++ b/src/lab/model.cpp
@@ -783,8 +783,13 @@
         discoveryDelay_ = begins ? fault.factor : 0;
         return;
       case FaultKind::discoveryUnresponsive:
+      case FaultKind::discoveryRefusing:
+      case FaultKind::discoveryResetting:
+      case FaultKind::discoveryRejecting:
         if (begins) discoveryUnresponsiveUntil_ = fault.until;
         return;
+      case FaultKind::watchesForgotten:
+        return;  // the model has no polls
       case FaultKind::discoveryWrong:
         // Adds to the list of each affected destination an endpoint that does not exist.
         for (int e : experiment_.affectedEndpoints(fault)) {
--- a/src/lab/trace.cpp
+++ b/src/lab/trace.cpp
@@ -30,7 +30,9 @@
                                      "back",
                                      "fell",
                                      "room-fell",
-                                     "answer-altered"};
+                                     "answer-altered",
+                                     "poll-struck"};
+static_assert(kEventTypeNames.size() == static_cast<std::size_t>(TraceEventType::pollStruck) + 1);
 
 std::ofstream openForWriting(const std::string& path) {
   std::ofstream out(path, std::ios::binary);
