--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -128,8 +128,8 @@
   rejectedRequest,     // answers a request with 503 and does not pass it on
 };
 
-// Whether discovery cannot be reached while a fault of this kind lasts. What changes meanwhile is told at its
-// end.
+// Whether discovery cannot be reached while a fault of this kind lasts. What changes meanwhile is published
+// at its end.
 bool isDiscoveryOutage(FaultKind kind);
 
 // Whose responses a machine between servers and dispatchers alters.
