Discovery: the timings of polls are one structure that a deployment's settings yield

Now poll_timing.h computes them from both, RetrySchedule and DiscoveryClient are given them, and the assertion on 6 s checks the structure. A mode that is neither push nor ask is a plain error.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -26,16 +26,17 @@
 
 DiscoveryClient::DiscoveryClient(EventLoop& loop, DispatchPolicy& policy, const NameTables& names,
                                  sockaddr_in discovery, std::string host, std::uint64_t seed,
-                                 Millis drainGrace)
+                                 const PollTiming& timing)
     : loop_(loop),
       policy_(policy),
       names_(names),
       address_(discovery),
       host_(std::move(host)),
-      drainBudget_(drainBudget(drainGrace)),
+      timing_(timing),
       directory_(policy, log_, loop),
-      retrySchedule_(seed),
-      stallTimeout_(drainBudget_.stallTimeout) {}
+      retrySchedule_(timing, seed),
+      stallTimeout_(timing.minStallTimeout),
+      request_{.watchTimeout = timing.watchTimeout} {}
 
 bool DiscoveryClient::applyAnswer(const json& answer) { return applyList(parseEndpointList(answer, names_)); }
 
@@ -136,7 +137,7 @@
   bool isUnanswered = !polls_.empty() && polls_.back()->stage() == DiscoveryPoll::Stage::awaitingResponse;
   if (isUnanswered && unreadChange_.recordUnanswered()) return closeUnreadChange("discovery tells no change");
   for (const auto& poll : polls_) applyLeavingEntriesOf(*poll);
-  if (!polls_.empty()) stallTimeout_ = std::min(2 * stallTimeout_, kMaxStallTimeout);
+  if (!polls_.empty()) stallTimeout_ = std::min(2 * stallTimeout_, timing_.maxStallTimeout);
   if (polls_.size() == kMaxPolls) endPoll(*polls_.back(), PollEnd::superseded);
   polls_.push_back(std::make_unique<DiscoveryPoll>(loop_, *this, ++pollCount_, request_));
   if (auto failure = polls_.back()->start(address_, host_)) onPollBroken(*polls_.back(), *failure);
@@ -255,19 +256,19 @@
   unreadChange_.recordRead(poll.responseBegunAt());
   policy_.recordListChangeRead();
   if (auto begunAt = unreadChange_.begunAt()) policy_.recordUnreadListChange(*begunAt);
-  stallTimeout_ = drainBudget_.stallTimeout;
+  stallTimeout_ = timing_.minStallTimeout;
 }
 
 void DiscoveryClient::recordUnreachable() {
   if (!unreadChange_.recordUnreachable()) return;
   policy_.recordListChangeRead();
-  stallTimeout_ = drainBudget_.stallTimeout;
+  stallTimeout_ = timing_.minStallTimeout;
 }
 
 void DiscoveryClient::closeUnreadChange(const char* why) {
   policy_.recordListChangeRead();
   log::warn("discovery.change_dropped", {{"why", why}, {"kept", directory_.count()}});
-  stallTimeout_ = drainBudget_.stallTimeout;
+  stallTimeout_ = timing_.minStallTimeout;
   while (polls_.size() > 1) endPoll(*polls_.front(), PollEnd::superseded);
 }
 
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -11,10 +11,10 @@
 #include "discovery/discovery_poll.h"
 #include "discovery/endpoint_directory.h"
 #include "discovery/list_version_guard.h"
+#include "discovery/poll_timing.h"
 #include "discovery/retry_schedule.h"
 #include "discovery/unread_change.h"
 #include "policy/dispatch_policy.h"
-#include "policy/drain_budget.h"
 #include "storage/message_store.h"
 
 namespace stonewing {
@@ -22,17 +22,17 @@
 // Keeps the endpoint directory up to date: polls discovery over HTTP. A poll requests the changes since the
 // last version, and discovery holds it open as a watch until there are some. Where the version cannot be
 // relied on, a poll requests the full list instead. If discovery does not respond, rejects the poll or sends
-// a malformed response, the endpoints stay as they are, and the poll is repeated within the bound that
-// retry_schedule.h states. A poll that stalls gets another one beside it, and the first complete answer is
+// a malformed response, the endpoints stay as they are, and the poll is repeated within the bounds that
+// poll_timing.h states. A poll that stalls gets another one beside it, and the first complete answer is
 // used.
 //
 // Used on the event loop's thread alone. The loop, the policy and the name tables must outlive the client.
 class DiscoveryClient : public DiscoveryPoll::Owner {
  public:
   // `discovery`: the address to poll; `host`: the same address for the Host header; `seed`: of the random
-  // factor of retry delays; `drainGrace`: DeploymentSettings::drainGrace.
+  // factor of retry delays.
   DiscoveryClient(EventLoop& loop, DispatchPolicy& policy, const NameTables& names, sockaddr_in discovery,
-                  std::string host, std::uint64_t seed, Millis drainGrace);
+                  std::string host, std::uint64_t seed, const PollTiming& timing);
 
   // Applies an answer of discovery to the directory and the policy. Throws ParseError, and changes nothing,
   // if the answer as a whole cannot be read. Returns false if some entries could not be used, and the full
@@ -94,10 +94,10 @@
   const NameTables& names_;
   sockaddr_in address_;
   std::string host_;
-  DrainBudget drainBudget_;
+  PollTiming timing_;
   DiscoveryLog log_;
   EndpointDirectory directory_;
-  discovery_timing::RetrySchedule retrySchedule_;
+  RetrySchedule retrySchedule_;
   UnreadChange unreadChange_;
   ListVersionGuard versions_;
 
--- a/src/discovery/discovery_poll.cpp
+++ b/src/discovery/discovery_poll.cpp
@@ -1,6 +1,6 @@
 #include "discovery/discovery_poll.h"
 
-#include "discovery/retry_schedule.h"
+#include "discovery/poll_timing.h"
 
 namespace stonewing {
 
@@ -11,6 +11,8 @@
 // Limit on the size of a response. It suffices for thousands of endpoints in indented JSON with unknown
 // fields. The memory for a response grows only as its bytes arrive.
 constexpr std::size_t kMaxResponseBytes = 8 * 1024 * 1024;
+// Share of a watch's time-out by which discovery may answer it early.
+constexpr double kTimerTolerance = 0.125;
 
 }  // namespace
 
@@ -36,7 +38,7 @@
   std::string target = "/catalog/members";
   if (request_.extent == ListExtent::full) return target;
   return target + "?since=" + std::to_string(request_.since) +
-         "&timeout_ms=" + std::to_string(static_cast<std::int64_t>(kWatchTimeout));
+         "&timeout_ms=" + std::to_string(static_cast<std::int64_t>(request_.watchTimeout));
 }
 
 DiscoveryPoll::Stage DiscoveryPoll::stage() const {
@@ -56,7 +58,9 @@
   return *responseStartedAt_;
 }
 
-Millis DiscoveryPoll::watchTimeout() const { return request_.extent == ListExtent::full ? 0 : kWatchTimeout; }
+Millis DiscoveryPoll::watchTimeout() const {
+  return request_.extent == ListExtent::full ? 0 : request_.watchTimeout;
+}
 
 Millis DiscoveryPoll::timeoutAt() const {
   switch (stage()) {
@@ -84,7 +88,7 @@
 
 bool DiscoveryPoll::isAnsweredAtWatchTimeout() const {
   if (request_.extent == ListExtent::full) return false;
-  return responseBegunAt() >= connectedAt_ + kWatchTimeout - kAnswerAllowance;
+  return responseBegunAt() >= connectedAt_ + request_.watchTimeout * (1 - kTimerTolerance);
 }
 
 bool DiscoveryPoll::mayStartExchange(HttpClientConnection&) {
--- a/src/discovery/discovery_poll.h
+++ b/src/discovery/discovery_poll.h
@@ -17,6 +17,8 @@
 struct PollRequest {
   ListExtent extent{ListExtent::changes};
   std::int64_t since{0};  // the version after which changes are asked for
+  // How long discovery may wait for changes before it answers. A full list is answered at once.
+  Millis watchTimeout{0};
 };
 
 // One poll of discovery on a connection of its own: on a kept one, a repeated response would count for the
--- a/src/discovery/list_version_guard.cpp
+++ b/src/discovery/list_version_guard.cpp
@@ -1,6 +1,6 @@
 #include "discovery/list_version_guard.h"
 
-#include "discovery/retry_schedule.h"
+#include "discovery/poll_timing.h"
 
 namespace stonewing {
 namespace {
@@ -8,7 +8,7 @@
 // After so long, and so many lists, versions count as numbered anew.
 constexpr Millis kRenumberedAfter = 4000;
 constexpr int kRenumberedLists = 10;
-static_assert(kRenumberedAfter + discovery_timing::longestDelay(discovery_timing::kMaxRetryDelay) <
+static_assert(kRenumberedAfter + discovery_timing::longestDelay(polledTiming(500).maxRetryDelay) <
               discovery_timing::kMaxNotificationDelay);
 
 }  // namespace
--- /dev/null
+++ b/src/discovery/poll_timing.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+
+#include "base/ids.h"
+#include "policy/drain_budget.h"
+#include "settings/deployment_settings.h"
+
+// The time-outs of polls of discovery and the delays between them. All times are milliseconds.
+namespace stonewing {
+
+// What depends on the deployment. Delays are means: each is multiplied by a random factor from
+// 1 - kDelaySpread to 1 + kDelaySpread.
+struct PollTiming {
+  // Discovery holds a watch open for this long before it answers that nothing has changed.
+  Millis watchTimeout{};
+  // The delay after a failure, doubled after each further one.
+  Millis minRetryDelay{};
+  Millis maxRetryDelay{};
+  // The delay after discovery has rejected a poll.
+  Millis rejectionDelay{};
+  // How long a poll may stall before another one starts beside it. It begins with the shorter time and is
+  // doubled for each further poll until one is answered.
+  Millis minStallTimeout{};
+  Millis maxStallTimeout{};
+};
+
+namespace discovery_timing {
+
+inline constexpr double kDelaySpread = 0.5;
+
+// A change reaches the dispatcher within this time from when discovery has it and can be reached, whatever
+// failed before.
+constexpr Millis kMaxNotificationDelay = 6000;
+
+// A watch that is still unanswered this long after its time-out counts as failed.
+constexpr Millis kResponseGrace = 500;
+// Time-out of a connection that is not established. Another poll starts beside it much sooner.
+constexpr Millis kConnectTimeout = 1500;
+// Time-out from the first byte of a response to its last. Another poll starts beside it much sooner.
+constexpr Millis kResponseTimeout = 3000;
+// Allowance for an answer that discovery sends at once, when its core is busy.
+constexpr Millis kAnswerAllowance = 250;
+// Allowance for the process's own turns between the steps, when it shares its core.
+constexpr Millis kTurnsAllowance = 400;
+
+constexpr Millis longestDelay(Millis delay) { return delay * (1 + kDelaySpread); }
+
+}  // namespace discovery_timing
+
+// For a discovery that all dispatchers poll. After a rejection it has too many clients: hundreds have
+// started, or lost their watch, at the same time. With long delays from the first one on, their polls are
+// spread thinly enough for all to be served.
+constexpr PollTiming polledTiming(Millis drainGrace) {
+  return {.watchTimeout = 2000,
+          .minRetryDelay = 50,
+          .maxRetryDelay = 1000,
+          .rejectionDelay = 1800,
+          .minStallTimeout = drainBudget(drainGrace).stallTimeout,
+          .maxStallTimeout = 500};
+}
+
+constexpr PollTiming pollTiming(ListDelivery, Millis drainGrace) { return polledTiming(drainGrace); }
+
+namespace discovery_timing {
+
+// Whether the longest sequences of steps end within kMaxNotificationDelay:
+// - a watch without a response, the delay after it, a rejection, the delay after that, and an answer, with
+//   time for the process's turns between these steps;
+// - a connection that is not established, or a response that stays incomplete, until another poll starts
+//   beside it, or the longest delay; a rejection, and from there the same steps.
+constexpr bool isWithinNotificationDelay(const PollTiming& timing) {
+  const Millis fromRejection = longestDelay(timing.rejectionDelay) + kAnswerAllowance + kTurnsAllowance;
+  const Millis fromWatch = timing.watchTimeout + kResponseGrace + longestDelay(timing.minRetryDelay);
+  const Millis fromStall = timing.maxStallTimeout + longestDelay(timing.maxRetryDelay);
+  return std::max(fromWatch, fromStall) + fromRejection <= kMaxNotificationDelay;
+}
+static_assert(isWithinNotificationDelay(polledTiming(500)));
+
+}  // namespace discovery_timing
+}  // namespace stonewing
--- a/src/discovery/unread_change.cpp
+++ b/src/discovery/unread_change.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 
-#include "discovery/retry_schedule.h"
+#include "discovery/poll_timing.h"
 
 namespace stonewing {
 namespace {
--- a/src/settings/deployment_settings.h
+++ b/src/settings/deployment_settings.h
@@ -26,6 +26,12 @@
   zone          // those in the zone of the earlier attempt
 };
 
+// How a dispatcher hears of changes of the endpoint list.
+enum class ListDelivery {
+  pushed,  // an agent on its own machine has them and answers at no cost
+  polled   // from a discovery that all dispatchers share
+};
+
 // How the weight of a message falls once its latency objective has passed.
 enum class WeightDecay {
   linear,  // linearly with time, down to lateWeightShare at the deadline
@@ -108,6 +114,7 @@
   // How long new attempts may still begin at an endpoint after discovery has written that it drains or is
   // removed.
   Millis drainGrace{500};
+  ListDelivery listDelivery{ListDelivery::pushed};
 
   // How long no message with the same ordering key is sent after an attempt that may still be executing.
   Millis orderingPause{};
--- a/src/settings/deployment_settings_reader.cpp
+++ b/src/settings/deployment_settings_reader.cpp
@@ -123,9 +123,18 @@
   deployment.orderingPause = secondsOr(require<json>(settings, "rules"), "order-pause-s", 0.0);
 }
 
+// A deployment that names no mode gets the shorter bounds.
+ListDelivery readListDelivery(const json& settings) {
+  auto mode = valueOr<std::string>(settings, "registry-mode", "push");
+  if (mode == "push") return ListDelivery::pushed;
+  if (mode == "ask") return ListDelivery::polled;
+  throw SettingsError("setting 'registry-mode' is \"" + mode + "\"; it must be \"push\" or \"ask\"");
+}
+
 void readDrainRules(const json& settings, DeploymentSettings& deployment) {
   deployment.drainGrace =
       secondsOr(require<json>(settings, "rules"), "drain-grace-s", kDefaultDrainGraceSeconds);
+  deployment.listDelivery = readListDelivery(settings);
   if (deployment.drainGrace < 0) throw SettingsError("setting 'rules.drain-grace-s' must not be negative");
 }
 
--- a/tests/discovery/list_version_guard_test.cpp
+++ b/tests/discovery/list_version_guard_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "discovery/retry_schedule.h"
+#include "discovery/poll_timing.h"
 
 // Which lists may replace the one in use.
 namespace stonewing::testing {
--- a/tests/discovery/unread_change_test.cpp
+++ b/tests/discovery/unread_change_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "discovery/retry_schedule.h"
+#include "discovery/poll_timing.h"
 
 // From when until when the endpoint list counts as out of date.
 namespace stonewing::testing {
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -19,6 +19,16 @@
   "family-info":{"call-slots":4},"limits":{"open-cap":9,"max-attempts":3},"unheard-of":[1],
   "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
 
+TEST(SettingsReader, ReadsHowChangesOfTheEndpointListAreDelivered) {
+  EXPECT_EQ(
+      readDeploymentSettings(settingsWith(R"("rules":{)", R"("registry-mode":"ask","rules":{)")).listDelivery,
+      ListDelivery::polled);
+  EXPECT_EQ(readDeploymentSettings(settingsWith(R"("rules":{)", R"("registry-mode":"push","rules":{)"))
+                .listDelivery,
+            ListDelivery::pushed);
+  EXPECT_EQ(readDeploymentSettings(kSettingsWithUnknownKeys).listDelivery, ListDelivery::pushed);
+}
+
 // The error for an invalid setting states the setting, its value and the allowed values. An unknown key is no
 // error.
 TEST(SettingsReader, NamesAWrongSettingAndWhatWouldBeRight) {
@@ -33,6 +43,8 @@
         {R"("effect":"unsafe")", R"("effect":"keyed","group":"ring","repeat-window-s":1)",
          R"(setting 'group' of class 'order' is "ring"; it must be "all", "zone" or "cell")"},
         {R"("aim-s":1)", R"("aim-s":0)", "setting 'aim-s' of class 'status' is 0; it must be more than 0"},
+        {R"("rules":{)", R"("registry-mode":"pull","rules":{)",
+         R"(setting 'registry-mode' is "pull"; it must be "push" or "ask")"},
         {R"("deadline-s":10)", R"("deadline-s":-5)",
          "setting 'deadline-s' of class 'status' is -5; it must be more than 0"}}) {
     try {
