--- a/src/discovery/list_version_guard.cpp
+++ b/src/discovery/list_version_guard.cpp
@@ -8,7 +8,7 @@
 // After so long, and so many lists, versions count as numbered anew.
 constexpr Millis kRenumberedAfter = 4000;
 constexpr int kRenumberedLists = 10;
-static_assert(kRenumberedAfter + discovery_timing::longestDelay(polledTiming(500).maxRetryDelay) <
+static_assert(kRenumberedAfter + discovery_timing::longestDelay(sharedServerTiming(500).maxRetryDelay) <
               discovery_timing::kMaxNotificationDelay);
 
 }  // namespace
--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -52,7 +52,7 @@
 // For a discovery that all dispatchers poll. After a rejection it has too many clients: hundreds have
 // started, or lost their watch, at the same time. With long delays from the first one on, their polls are
 // spread thinly enough for all to be served.
-constexpr PollTiming polledTiming(Millis drainGrace) {
+constexpr PollTiming sharedServerTiming(Millis drainGrace) {
   return {.watchTimeout = 2000,
           .minRetryDelay = 50,
           .maxRetryDelay = 1000,
@@ -61,7 +61,7 @@
           .maxStallTimeout = 500};
 }
 
-constexpr PollTiming pollTiming(ListDelivery, Millis drainGrace) { return polledTiming(drainGrace); }
+constexpr PollTiming pollTiming(DiscoveryKind, Millis drainGrace) { return sharedServerTiming(drainGrace); }
 
 namespace discovery_timing {
 
@@ -76,7 +76,7 @@
   const Millis fromStall = timing.maxStallTimeout + longestDelay(timing.maxRetryDelay);
   return std::max(fromWatch, fromStall) + fromRejection <= kMaxNotificationDelay;
 }
-static_assert(isWithinNotificationDelay(polledTiming(500)));
+static_assert(isWithinNotificationDelay(sharedServerTiming(500)));
 
 }  // namespace discovery_timing
 }  // namespace stonewing
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -44,7 +44,7 @@
       store_(names_, config_.journalFolder, config_.maxJournalBytes, config_.journalWriter),
       discovery_(loop_, policy_, names_, requireAddress(config_.discoveryAddress, "discovery"),
                  config_.discoveryAddress, config_.seed + kDiscoverySeedOffset,
-                 pollTiming(settings_.listDelivery, settings_.drainGrace)),
+                 pollTiming(settings_.discoveryKind, settings_.drainGrace)),
       sender_(loop_, policy_, store_, discovery_, settings_, names_, descriptors_.endpointConnections,
               descriptors_.healthChecks),
       notifier_(loop_, store_, requireAddress(config_.discoveryAddress, "discovery"),
--- a/src/settings/deployment_settings.h
+++ b/src/settings/deployment_settings.h
@@ -26,10 +26,10 @@
   zone          // those in the zone of the earlier attempt
 };
 
-// How a dispatcher hears of changes of the endpoint list.
-enum class ListDelivery {
-  pushed,  // an agent on its own machine has them and answers at no cost
-  polled   // from a discovery that all dispatchers share
+// Who answers a dispatcher's polls for the endpoint list.
+enum class DiscoveryKind {
+  localAgent,   // an agent on the dispatcher's own machine, which is sent all changes
+  sharedServer  // a server that all dispatchers poll
 };
 
 // How the weight of a message falls once its latency objective has passed.
@@ -114,7 +114,7 @@
   // How long new attempts may still begin at an endpoint after discovery has written that it drains or is
   // removed.
   Millis drainGrace{500};
-  ListDelivery listDelivery{ListDelivery::pushed};
+  DiscoveryKind discoveryKind{DiscoveryKind::localAgent};
 
   // How long no message with the same ordering key is sent after an attempt that may still be executing.
   Millis orderingPause{};
--- a/src/settings/deployment_settings_reader.cpp
+++ b/src/settings/deployment_settings_reader.cpp
@@ -124,17 +124,17 @@
 }
 
 // A deployment that names no mode gets the shorter bounds.
-ListDelivery readListDelivery(const json& settings) {
+DiscoveryKind readDiscoveryKind(const json& settings) {
   auto mode = valueOr<std::string>(settings, "registry-mode", "push");
-  if (mode == "push") return ListDelivery::pushed;
-  if (mode == "ask") return ListDelivery::polled;
+  if (mode == "push") return DiscoveryKind::localAgent;
+  if (mode == "ask") return DiscoveryKind::sharedServer;
   throw SettingsError("setting 'registry-mode' is \"" + mode + "\"; it must be \"push\" or \"ask\"");
 }
 
 void readDrainRules(const json& settings, DeploymentSettings& deployment) {
   deployment.drainGrace =
       secondsOr(require<json>(settings, "rules"), "drain-grace-s", kDefaultDrainGraceSeconds);
-  deployment.listDelivery = readListDelivery(settings);
+  deployment.discoveryKind = readDiscoveryKind(settings);
   if (deployment.drainGrace < 0) throw SettingsError("setting 'rules.drain-grace-s' must not be negative");
 }
 
--- a/tests/settings/settings_reader_test.cpp
+++ b/tests/settings/settings_reader_test.cpp
@@ -19,14 +19,14 @@
   "family-info":{"call-slots":4},"limits":{"open-cap":9,"max-attempts":3},"unheard-of":[1],
   "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
 
-TEST(SettingsReader, ReadsHowChangesOfTheEndpointListAreDelivered) {
-  EXPECT_EQ(
-      readDeploymentSettings(settingsWith(R"("rules":{)", R"("registry-mode":"ask","rules":{)")).listDelivery,
-      ListDelivery::polled);
+TEST(SettingsReader, ReadsWhoAnswersPollsForTheEndpointList) {
+  EXPECT_EQ(readDeploymentSettings(settingsWith(R"("rules":{)", R"("registry-mode":"ask","rules":{)"))
+                .discoveryKind,
+            DiscoveryKind::sharedServer);
   EXPECT_EQ(readDeploymentSettings(settingsWith(R"("rules":{)", R"("registry-mode":"push","rules":{)"))
-                .listDelivery,
-            ListDelivery::pushed);
-  EXPECT_EQ(readDeploymentSettings(kSettingsWithUnknownKeys).listDelivery, ListDelivery::pushed);
+                .discoveryKind,
+            DiscoveryKind::localAgent);
+  EXPECT_EQ(readDeploymentSettings(kSettingsWithUnknownKeys).discoveryKind, DiscoveryKind::localAgent);
 }
 
 // The error for an invalid setting states the setting, its value and the allowed values. An unknown key is no
--- a/tests/support/attempt_sender_harness.h
+++ b/tests/support/attempt_sender_harness.h
@@ -63,8 +63,13 @@
   DispatchPolicy policy{settings, 7};
   std::size_t maxJournalBytes;
   MessageStore store{names, directory.path.string(), maxJournalBytes};
-  DiscoveryClient discovery{
-      loop, policy, names, *parseAddress("127.0.0.1:9"), "nowhere", 1, pollTiming(ListDelivery::pushed, 500)};
+  DiscoveryClient discovery{loop,
+                            policy,
+                            names,
+                            *parseAddress("127.0.0.1:9"),
+                            "nowhere",
+                            1,
+                            pollTiming(DiscoveryKind::localAgent, 500)};
   AttemptSender sender{loop, policy, store, discovery, settings, names, 64, 8};
   std::string received;  // bytes received by the endpoint
   std::map<std::string, MessageId> ids;
--- a/tests/support/discovery_harness.h
+++ b/tests/support/discovery_harness.h
@@ -18,7 +18,7 @@
   "limits":{"open-cap":50,"max-attempts":5,"conn-idle-s":10,"connect-timeout-s":1.5},
   "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
 
-// DeploymentSettings::drainGrace of the client, whose discovery is polled.
+// DeploymentSettings::drainGrace of the client, whose discovery is a shared server.
 inline constexpr Millis kDrainGrace = 500;
 
 inline std::string httpResponse(int status, const std::string& body) {
@@ -55,7 +55,7 @@
                          *parseAddress("127.0.0.1:" + std::to_string(localPort(listener))),
                          "d",
                          1,
-                         pollTiming(ListDelivery::polled, kDrainGrace)};
+                         pollTiming(DiscoveryKind::sharedServer, kDrainGrace)};
 
   explicit DiscoveryHarness(int listenBacklog = 8) : backlog(listenBacklog) { policy.beginRound(loop.now()); }
   ~DiscoveryHarness() {
