Discovery: pauses between polls of a local agent end within the drain grace

Cause, one of the stretches without a poll: after failures the next poll came up to 1.5 s later, after a 503 0.9 to 2.7 s later. These delays came from the rule on 6 s. But an agent on the dispatcher's machine counts as having told what it has, at its return from an outage too, so each pause is a part of the drain grace. A shared server is polled as rarely as before.

--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <algorithm>
-#include <array>
 
 #include "base/ids.h"
 #include "policy/drain_budget.h"
@@ -47,6 +46,16 @@
 
 constexpr Millis longestDelay(Millis delay) { return delay * (1 + kDelaySpread); }
 
+// Share of DrainBudget::readWithin that may pass until the poll begins that a change is read with.
+constexpr double kUnpolledShare = 5.0 / 6;
+// Polls that follow each other more closely would occupy the process.
+constexpr Millis kMinUnpolled = 50;
+
+// The longest stretch without a poll that a local agent could answer.
+constexpr Millis maxUnpolled(Millis drainGrace) {
+  return std::max(kMinUnpolled, kUnpolledShare * drainBudget(drainGrace).readWithin);
+}
+
 }  // namespace discovery_timing
 
 // For a discovery that all dispatchers poll. After a rejection it has too many clients: hundreds have
@@ -61,7 +70,22 @@
           .maxStallTimeout = 500};
 }
 
-constexpr PollTiming pollTiming(DiscoveryKind, Millis drainGrace) { return sharedServerTiming(drainGrace); }
+// For an agent on the dispatcher's own machine. What it has counts as notified at once, so that a stretch
+// without a poll that it could answer is a part of the drain grace.
+constexpr PollTiming localAgentTiming(Millis drainGrace) {
+  const PollTiming shared = sharedServerTiming(drainGrace);
+  const Millis maxDelay = discovery_timing::maxUnpolled(drainGrace) / (1 + discovery_timing::kDelaySpread);
+  return {.watchTimeout = shared.watchTimeout,
+          .minRetryDelay = std::min(shared.minRetryDelay, maxDelay),
+          .maxRetryDelay = std::min(shared.maxRetryDelay, maxDelay),
+          .rejectionDelay = std::min(shared.rejectionDelay, maxDelay),
+          .minStallTimeout = shared.minStallTimeout,
+          .maxStallTimeout = shared.maxStallTimeout};
+}
+
+constexpr PollTiming pollTiming(DiscoveryKind kind, Millis drainGrace) {
+  return kind == DiscoveryKind::localAgent ? localAgentTiming(drainGrace) : sharedServerTiming(drainGrace);
+}
 
 namespace discovery_timing {
 
@@ -78,5 +102,15 @@
 }
 static_assert(isWithinNotificationDelay(sharedServerTiming(500)));
 
+// Whether each pause between polls leaves time to read a change within the drain grace.
+constexpr bool isWithinDrainGrace(const PollTiming& timing, Millis drainGrace) {
+  const Millis longest = longestDelay(std::max(timing.maxRetryDelay, timing.rejectionDelay));
+  return longest <= drainBudget(drainGrace).readWithin;
+}
+static_assert(isWithinDrainGrace(localAgentTiming(200), 200));
+static_assert(isWithinDrainGrace(localAgentTiming(500), 500));
+static_assert(isWithinDrainGrace(localAgentTiming(1000), 1000));
+static_assert(isWithinDrainGrace(localAgentTiming(10'000), 10'000));
+
 }  // namespace discovery_timing
 }  // namespace stonewing
--- a/src/discovery/retry_schedule.h
+++ b/src/discovery/retry_schedule.h
@@ -35,11 +35,11 @@
   // The next two are for the time in which a change is known and unread.
   Millis delayAfterUnreadFailure() {
     return nextDelay(kUnreadGrowth, discovery_timing::kMinUnreadRetryDelay,
-                     discovery_timing::kMaxUnreadRetryDelay);
+                     std::min(discovery_timing::kMaxUnreadRetryDelay, timing_.maxRetryDelay));
   }
   Millis delayAfterUnreadRejection() {
     return nextDelay(kDoubling, discovery_timing::kMinUnreadRejectionDelay,
-                     discovery_timing::kMaxUnreadRejectionDelay);
+                     std::min(discovery_timing::kMaxUnreadRejectionDelay, timing_.rejectionDelay));
   }
   // To be called after a successful poll or a change of address: delays begin at the shortest again.
   void reset() { delay_ = 0; }
@@ -50,7 +50,7 @@
 
   Millis nextDelay(double growth, Millis minDelay, Millis maxDelay) {
     using discovery_timing::kDelaySpread;
-    delay_ = std::clamp(growth * delay_, minDelay, maxDelay);
+    delay_ = std::min(std::max(growth * delay_, minDelay), maxDelay);
     std::uniform_real_distribution<double> factor(1 - kDelaySpread, 1 + kDelaySpread);
     return delay_ * factor(random_);
   }
--- a/tests/support/discovery_harness.h
+++ b/tests/support/discovery_harness.h
@@ -18,7 +18,7 @@
   "limits":{"open-cap":50,"max-attempts":5,"conn-idle-s":10,"connect-timeout-s":1.5},
   "rules":{"cold-from":0.2,"cold-s":10,"fall-multiple":2,"fall-s":1.5}})";
 
-// DeploymentSettings::drainGrace of the client, whose discovery is a shared server.
+// DeploymentSettings::drainGrace of the client.
 inline constexpr Millis kDrainGrace = 500;
 
 inline std::string httpResponse(int status, const std::string& body) {
@@ -49,15 +49,14 @@
   int listener = listenOnLoopback(0, backlog);
   int connection = -1;  // the latest one from the client
   std::string received;
-  DiscoveryClient client{loop,
-                         policy,
-                         names,
-                         *parseAddress("127.0.0.1:" + std::to_string(localPort(listener))),
-                         "d",
-                         1,
-                         pollTiming(DiscoveryKind::sharedServer, kDrainGrace)};
-
-  explicit DiscoveryHarness(int listenBacklog = 8) : backlog(listenBacklog) { policy.beginRound(loop.now()); }
+  DiscoveryClient client;
+
+  explicit DiscoveryHarness(int listenBacklog = 8, DiscoveryKind kind = DiscoveryKind::sharedServer)
+      : backlog(listenBacklog),
+        client(loop, policy, names, *parseAddress("127.0.0.1:" + std::to_string(localPort(listener))), "d", 1,
+               pollTiming(kind, kDrainGrace)) {
+    policy.beginRound(loop.now());
+  }
   ~DiscoveryHarness() {
     if (connection >= 0) ::close(connection);
     ::close(listener);
