Discovery: polls that are all reset pause attempts for 1.2 s at most, not for 12 s

Cause: a poll that ends before its first byte may hide a change, so attempts pause until a list is read. Each further reset counted as one more sign of it, for 12 s. But resets in a row show more and more that discovery is broken. Change: a change that is only possible is waited for until 1.2 s past the time for reading, which the grace yields; bytes of a response are still waited for up to 12 s, also after that. To use that time, a local agent is polled every 75 ms (a quarter of the time for reading) instead of every 170 ms meanwhile. UnreadChange's own tests name that time now, since its constructor wants it; their bounds are unchanged.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -35,6 +35,7 @@
       timing_(timing),
       directory_(policy, log_, loop),
       retrySchedule_(timing, seed),
+      unreadChange_(timing.maxPossibleChangeDuration),
       stallTimeout_(timing.minStallTimeout) {}
 
 bool DiscoveryClient::applyAnswer(const json& answer) { return applyList(parseEndpointList(answer, names_)); }
--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -25,6 +25,11 @@
   Millis maxRetryDelay{};
   // The delay after discovery has rejected a poll.
   Millis rejectionDelay{};
+  // The longest delay after a failure while a change is known and unread (UnreadChange).
+  Millis maxUnreadRetryDelay{};
+  // For how long a change is waited for that is only possible: polls that all end without a byte may also
+  // show that discovery is broken, and attempts pause meanwhile.
+  Millis maxPossibleChangeDuration{};
   // How long a poll may stall before another one starts beside it. It begins with the shorter time and is
   // doubled for each further poll until one is answered.
   Millis minStallTimeout{};
@@ -54,6 +59,9 @@
 
 constexpr Millis longestDelay(Millis delay) { return delay * (1 + kDelaySpread); }
 
+// How long attempts may pause for a change that is only possible.
+constexpr Millis kMaxPauseIfPossible = 1200;
+
 // Share of DrainBudget::readWithin that may pass until the poll begins that a change is read with.
 constexpr double kUnpolledShare = 5.0 / 6;
 // Share of that stretch for which the answer to a watch may be late.
@@ -72,13 +80,16 @@
 // started, or lost their watch, at the same time. With long delays from the first one on, their polls are
 // spread thinly enough for all to be served.
 constexpr PollTiming sharedServerTiming(Millis drainGrace) {
+  const DrainBudget budget = drainBudget(drainGrace);
   return {.watchTimeout = 2000,
           .sparingWatchTimeout = 2000,
           .silenceTimeout = std::nullopt,
           .minRetryDelay = 50,
           .maxRetryDelay = 1000,
           .rejectionDelay = 1800,
-          .minStallTimeout = drainBudget(drainGrace).stallTimeout,
+          .maxUnreadRetryDelay = 200,
+          .maxPossibleChangeDuration = budget.readWithin + discovery_timing::kMaxPauseIfPossible,
+          .minStallTimeout = budget.stallTimeout,
           .maxStallTimeout = 500};
 }
 
@@ -95,6 +106,8 @@
           .minRetryDelay = std::min(shared.minRetryDelay, maxDelay),
           .maxRetryDelay = std::min(shared.maxRetryDelay, maxDelay),
           .rejectionDelay = std::min(shared.rejectionDelay, maxDelay),
+          .maxUnreadRetryDelay = std::min(shared.maxUnreadRetryDelay, drainBudget(drainGrace).stallTimeout),
+          .maxPossibleChangeDuration = shared.maxPossibleChangeDuration,
           .minStallTimeout = std::min(shared.minStallTimeout, unpolled),
           .maxStallTimeout = std::min(shared.maxStallTimeout, unpolled)};
 }
--- a/src/discovery/retry_schedule.h
+++ b/src/discovery/retry_schedule.h
@@ -13,7 +13,6 @@
 // The delays after a failure and after a rejection while a change is known and unread (UnreadChange). The
 // first ones have to fit into DrainBudget::readWithin; if they do not succeed, polls become rarer.
 constexpr Millis kMinUnreadRetryDelay = 15;
-constexpr Millis kMaxUnreadRetryDelay = 200;
 constexpr Millis kMinUnreadRejectionDelay = 75;
 constexpr Millis kMaxUnreadRejectionDelay = 600;
 // A poll without an answer for this long, while a change is known, shows that discovery does not tell it.
@@ -34,8 +33,7 @@
   }
   // The next two are for the time in which a change is known and unread.
   Millis delayAfterUnreadFailure() {
-    return nextDelay(kUnreadGrowth, discovery_timing::kMinUnreadRetryDelay,
-                     std::min(discovery_timing::kMaxUnreadRetryDelay, timing_.maxRetryDelay));
+    return nextDelay(kUnreadGrowth, discovery_timing::kMinUnreadRetryDelay, timing_.maxUnreadRetryDelay);
   }
   Millis delayAfterUnreadRejection() {
     return nextDelay(kDoubling, discovery_timing::kMinUnreadRejectionDelay,
--- a/src/discovery/unread_change.cpp
+++ b/src/discovery/unread_change.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 bool UnreadChange::recordBegun(Millis now, Evidence evidence) {
-  if (hasExpired_) return false;
+  if (isExhausted(evidence)) return false;
   if (evidence == Evidence::certain) {
     evidence_ = Evidence::certain;
     unansweredPolls_ = 0;
@@ -33,30 +33,40 @@
   ++unansweredPolls_;
   const int needed = evidence_ == Evidence::certain ? kUnansweredIfCertain : kUnansweredIfPossible;
   if (unansweredPolls_ < needed) return false;
-  *this = {};
+  close();
   return true;
 }
 
 bool UnreadChange::recordUnreachable() {
   if (!isOpen() || evidence_ == Evidence::certain) return false;
-  *this = {};
+  close();
   return true;
 }
 
 void UnreadChange::recordRead(Millis responseBegunAt) {
   std::erase_if(begunAt_, [responseBegunAt](Millis begunAt) { return begunAt <= responseBegunAt; });
-  hasExpired_ = false;
+  expired_.reset();
   unansweredPolls_ = 0;
   if (!isOpen()) evidence_ = Evidence::possible;
 }
 
 bool UnreadChange::closeIfExpired(Millis now) {
   if (!isOpen() || now < *expiresAt()) return false;
-  *this = {};
-  hasExpired_ = true;
+  expired_ = evidence_;
+  close();
   return true;
 }
 
+void UnreadChange::close() {
+  begunAt_.clear();
+  evidence_ = Evidence::possible;
+  unansweredPolls_ = 0;
+}
+
+bool UnreadChange::isExhausted(Evidence evidence) const {
+  return expired_ && (*expired_ == Evidence::certain || evidence == Evidence::possible);
+}
+
 std::optional<Millis> UnreadChange::begunAt() const {
   if (!isOpen()) return std::nullopt;
   return begunAt_.front();
@@ -64,6 +74,7 @@
 
 std::optional<Millis> UnreadChange::expiresAt() const {
   if (!isOpen()) return std::nullopt;
+  if (evidence_ == Evidence::possible) return begunAt_.front() + maxPossibleDuration_;
   return std::min(begunAt_.back() + discovery_timing::kMaxNotificationDelay,
                   begunAt_.front() + kMaxUnreadDuration);
 }
--- a/src/discovery/unread_change.h
+++ b/src/discovery/unread_change.h
@@ -15,12 +15,14 @@
   // What the beginning of a response shows.
   enum class Evidence {
     // The watch had timed out, so the response may tell that nothing has changed; or the connection ended
-    // before
-    // the first byte.
+    // before the first byte.
     possible,
     certain,  // discovery answers a poll at once only if it has something to tell
   };
 
+  // `maxPossibleDuration`: for how long a change is waited for that is only possible (PollTiming).
+  explicit UnreadChange(Millis maxPossibleDuration) : maxPossibleDuration_(maxPossibleDuration) {}
+
   // A response has begun and is incomplete. Returns whether this opens a change.
   bool recordBegun(Millis now, Evidence evidence);
   // A later poll remains without an answer, although discovery answers at once if it has a change to tell.
@@ -31,8 +33,9 @@
   bool recordUnreachable();
   // A list was read completely. Responses that began later than its own remain unread: they may tell more.
   void recordRead(Millis responseBegunAt);
-  // Closes a change that could not be read for longer than kMaxNotificationDelay. Another one does not open
-  // until a list has been read. Returns whether it was closed.
+  // Closes a change that could not be read for too long: after kMaxNotificationDelay without a further
+  // response, or at the end of maxPossibleDuration if it is only possible. Until a list has been read,
+  // another change opens on stronger evidence alone. Returns whether the change was closed.
   bool closeIfExpired(Millis now);
 
   // When the first of the unread responses began; no value if there is none.
@@ -42,10 +45,15 @@
   std::optional<Millis> expiresAt() const;
 
  private:
+  void close();
+  // Whether such evidence has already been waited for in vain.
+  bool isExhausted(Evidence evidence) const;
+
+  Millis maxPossibleDuration_;
   std::vector<Millis> begunAt_;  // of each unread response, in the order of time
   Evidence evidence_{Evidence::possible};
   int unansweredPolls_{0};
-  bool hasExpired_{false};  // and no list has been read since
+  std::optional<Evidence> expired_;  // the evidence of a change that expired, if no list has been read since
 };
 
 }  // namespace stonewing
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -107,6 +107,23 @@
   EXPECT_EQ(request.find("timeout_ms=2000"), std::string::npos) << request;
 }
 
+// An agent that breaks must not take the deliveries with it.
+TEST(DiscoveryReturn, AttemptsGoOnWhileEveryPollIsResetWithoutAnAnswer) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  Millis paused = 0;
+  Millis beganAt = harness.loop.now();
+  while (harness.loop.now() - beganAt < 4000) {
+    Poll poll = harness.nextPoll(500);
+    ASSERT_LT(poll.after, kMaxPause);
+    if (!harness.policy.mayBeginAttempts()) paused += poll.after;
+    ::close(std::exchange(harness.connection, -1));
+  }
+  EXPECT_LT(paused, 1500);
+  EXPECT_TRUE(harness.policy.mayBeginAttempts());
+}
+
 // In calm, each watch that ends without a change is followed by one other.
 TEST(DiscoveryReturn, ACalmAgentIsPolledAFewTimesASecond) {
   DiscoveryHarness harness(8, DiscoveryKind::localAgent);
--- a/tests/discovery/unread_change_test.cpp
+++ b/tests/discovery/unread_change_test.cpp
@@ -11,8 +11,10 @@
 using Evidence = UnreadChange::Evidence;
 using discovery_timing::kMaxNotificationDelay;
 
+constexpr Millis kMaxPossibleDuration = localAgentTiming(500).maxPossibleChangeDuration;
+
 TEST(UnreadChange, CountsFromTheFirstOfSeveralIncompleteResponses) {
-  UnreadChange change;
+  UnreadChange change(kMaxPossibleDuration);
   EXPECT_TRUE(change.recordBegun(100, Evidence::certain));
   EXPECT_FALSE(change.recordBegun(200, Evidence::certain));
   EXPECT_EQ(change.begunAt(), 100);
@@ -22,7 +24,7 @@
 
 // A slow answer is older than a response that began after it, and must not count as that response's.
 TEST(UnreadChange, AnOlderAnswerDoesNotReadAResponseThatBeganLater) {
-  UnreadChange change;
+  UnreadChange change(kMaxPossibleDuration);
   change.recordBegun(100, Evidence::certain);
   change.recordBegun(300, Evidence::certain);
   change.recordRead(100);
@@ -32,11 +34,11 @@
 }
 
 TEST(UnreadChange, OneUnansweredPollRefutesAResponseAtTheEndOfAWatchAndNotACertainChange) {
-  UnreadChange possible;
+  UnreadChange possible(kMaxPossibleDuration);
   possible.recordBegun(100, Evidence::possible);
   EXPECT_TRUE(possible.recordUnanswered());
   EXPECT_FALSE(possible.isOpen());
-  UnreadChange certain;
+  UnreadChange certain(kMaxPossibleDuration);
   certain.recordBegun(100, Evidence::possible);
   certain.recordBegun(150, Evidence::certain);
   for (int count = 0; count < 3; ++count) EXPECT_FALSE(certain.recordUnanswered());
@@ -46,7 +48,7 @@
 
 // A fleet must not pause where discovery restarts: its watches end, and polls are refused for a while.
 TEST(UnreadChange, AnUnreachableDiscoveryRefutesAPossibleChangeAndNotACertainOne) {
-  UnreadChange change;
+  UnreadChange change(kMaxPossibleDuration);
   change.recordBegun(100, Evidence::possible);
   EXPECT_TRUE(change.recordUnreachable());
   EXPECT_FALSE(change.isOpen());
@@ -57,14 +59,25 @@
 
 // While discovery goes on telling that there is a change, the change is waited for, but not for ever.
 TEST(UnreadChange, IsWaitedForLongerWhileResponsesGoOnBeginning) {
-  UnreadChange change;
+  UnreadChange change(kMaxPossibleDuration);
   Millis now = 0;
   for (; !change.closeIfExpired(now); now += 200) change.recordBegun(now, Evidence::certain);
   EXPECT_EQ(now, 2 * kMaxNotificationDelay);
 }
 
+// A discovery that ends every poll without a byte must not stop deliveries for as long as it does so.
+TEST(UnreadChange, APossibleChangeIsNotWaitedForWhileEveryPollBreaks) {
+  UnreadChange change(kMaxPossibleDuration);
+  Millis now = 0;
+  for (; !change.closeIfExpired(now); now += 50) change.recordBegun(now, Evidence::possible);
+  EXPECT_LE(now, 1500);
+  EXPECT_GT(now, 500);
+  EXPECT_FALSE(change.recordBegun(now, Evidence::possible));
+  EXPECT_TRUE(change.recordBegun(now, Evidence::certain)) << "what has begun to arrive is waited for";
+}
+
 TEST(UnreadChange, ExpiresAndDoesNotOpenAgainUntilAListIsRead) {
-  UnreadChange change;
+  UnreadChange change(kMaxPossibleDuration);
   change.recordBegun(100, Evidence::certain);
   EXPECT_FALSE(change.closeIfExpired(100 + kMaxNotificationDelay - 1));
   EXPECT_TRUE(change.closeIfExpired(100 + kMaxNotificationDelay));
