Discovery: an unanswered poll for the full list gets another one after 0.25 s, not 0.05 s

What others saw: an agent that is silent or slow while a dispatcher wants the full list (after SIGHUP, or after a list that could not be used) was asked for it 18 times a second, and each of these polls it may answer with the whole list. Cause: let another poll begin 0.05 s after an answer is due, and the full list is due at once. Change: such a poll may take as long as a watch, so that another one begins 0.25 s after it at a grace of 0.5 s; the assertion on the grace covers that sum already. Test: DiscoveryReturn.AFullListIsNotAskedForMoreOftenThanChangesWhileNoneIsAnswered; before, 57 to 59 ms between polls.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -132,13 +132,20 @@
   if (poll.stage() != DiscoveryPoll::Stage::awaitingResponse) return poll.stageSince() + stallTimeout_;
   // Discovery answers a watch once there is a change, and at once if there is one already.
   if (unreadChange_.isOpen()) return poll.stageSince() + std::max(stallTimeout_, kUnreadAnswerTimeout);
+  return overdueAt(poll);
+}
+
+std::optional<Millis> DiscoveryClient::overdueAt(const DiscoveryPoll& poll) const {
   if (!timing_.silenceTimeout) return std::nullopt;
-  return poll.answerDueAt() + *timing_.silenceTimeout;
+  // The whole list is answered at once, but may take a slow agent as long as a watch.
+  Millis answerDueAt = std::max(poll.answerDueAt(), poll.stageSince() + timing_.watchTimeout);
+  return answerDueAt + *timing_.silenceTimeout;
 }
 
 bool DiscoveryClient::isOverdue(const DiscoveryPoll& poll) const {
-  return timing_.silenceTimeout && poll.stage() == DiscoveryPoll::Stage::awaitingResponse &&
-         loop_.now() >= poll.answerDueAt() + *timing_.silenceTimeout;
+  if (poll.stage() != DiscoveryPoll::Stage::awaitingResponse) return false;
+  std::optional<Millis> at = overdueAt(poll);
+  return at && loop_.now() >= *at;
 }
 
 Millis DiscoveryClient::watchTimeout() const {
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -71,6 +71,8 @@
   std::optional<Millis> nextStartAt() const;
   // When a poll counts as stalled, so that another one starts beside it.
   std::optional<Millis> stalledAt(const DiscoveryPoll& poll) const;
+  // When an unanswered poll gets another one beside it; no value if it is waited for.
+  std::optional<Millis> overdueAt(const DiscoveryPoll& poll) const;
   bool isOverdue(const DiscoveryPoll& poll) const;
   Millis watchTimeout() const;
   void startPoll();
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -90,6 +90,25 @@
   ::close(late);
 }
 
+// Each of them would be answered with the whole list by an agent that is only slow.
+TEST(DiscoveryReturn, AFullListIsNotAskedForMoreOftenThanChangesWhileNoneIsAnswered) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  harness.changeHost();
+  std::vector<int> unanswered;
+  for (int count = 0; count < 6; ++count) {
+    Poll poll = harness.nextPoll(6000);
+    EXPECT_NE(poll.requestLine, "");
+    if (count > 0) {
+      EXPECT_GT(poll.after, kDrainGrace / 3) << count;
+      EXPECT_LT(poll.after, kMaxPause) << count;
+    }
+    unanswered.push_back(std::exchange(harness.connection, -1));
+  }
+  for (int connection : unanswered) ::close(connection);
+}
+
 // Hundreds of dispatchers may have one discovery behind their agents. Once it has rejected polls, watches are
 // long for a while.
 TEST(DiscoveryReturn, WatchesAreLongForAWhileAfterARejection) {
--- a/tests/support/discovery_harness.h
+++ b/tests/support/discovery_harness.h
@@ -88,6 +88,12 @@
     return poll;
   }
 
+  // As a new configuration does that names the same discovery by another host.
+  void changeHost() {
+    turn();
+    client.changeAddress(*parseAddress("127.0.0.1:" + std::to_string(localPort(listener))), "e");
+  }
+
   void respond(const std::string& bytes) const { sendBytes(connection, bytes); }
 
   bool isReady(const std::string& endpoint) {
