Discovery: a new address is polled without regard to what the last one did

Callers would see, after SIGHUP: a drain acted on up to 2.06 s late if the old discovery had rejected a poll less than 4 s before and a watch at the new one falls silent; and no pause for a change there if the old one had ended every poll. Cause: changeAddress() kept the time of the last rejection, which makes watches long, the stall time-out, which doubles, and the memory that a change had been waited for in vain. Change: all three begin anew. A change that is unread remains so.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -68,6 +68,9 @@
   request_.extent = ListExtent::full;  // versions of two servers cannot be compared
   versions_.reset();
   retrySchedule_.reset();
+  rejectedAt_.reset();
+  stallTimeout_ = timing_.minStallTimeout;
+  unreadChange_.recordAddressChanged();
   nextPollAt_ = loop_.now();
 }
 
--- a/src/discovery/unread_change.h
+++ b/src/discovery/unread_change.h
@@ -33,9 +33,11 @@
   bool recordUnreachable();
   // A list was read completely. Responses that began later than its own remain unread: they may tell more.
   void recordRead(Millis responseBegunAt);
+  // Another discovery is polled from now on. An unread change remains unread: the other one may tell it too.
+  void recordAddressChanged() { expired_.reset(); }
   // Closes a change that could not be read for too long: after kMaxNotificationDelay without a further
-  // response, or at the end of maxPossibleDuration if it is only possible. Until a list has been read,
-  // another change opens on stronger evidence alone. Returns whether the change was closed.
+  // response, or at the end of maxPossibleDuration if it is only possible. Until a list has been read or the
+  // address changes, another change opens on stronger evidence alone. Returns whether the change was closed.
   bool closeIfExpired(Millis now);
 
   // When the first of the unread responses began; no value if there is none.
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -126,6 +126,40 @@
   EXPECT_EQ(request.find("timeout_ms=2000"), std::string::npos) << request;
 }
 
+// What was seen of one discovery says nothing about the next.
+TEST(DiscoveryReturn, AnotherAddressIsPolledWithoutRegardToRejectionsOfTheLast) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(httpResponse(503, ""));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.changeHost();
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine.find("since=1"), std::string::npos);
+  int forgotten = std::exchange(harness.connection, -1);
+  EXPECT_LT(harness.nextPoll(6000).after, kMaxPause) << "the watch there is long";
+  ::close(forgotten);
+}
+
+TEST(DiscoveryReturn, AChangeAtAnotherAddressIsWaitedForAfterTheLastOneBroke) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  Millis beganAt = harness.loop.now();
+  while (harness.loop.now() - beganAt < 2000) {
+    harness.nextPoll(500);
+    ::close(std::exchange(harness.connection, -1));
+  }
+  ASSERT_TRUE(harness.policy.mayBeginAttempts());
+  harness.changeHost();
+  beganAt = harness.loop.now();
+  while (harness.loop.now() - beganAt < kDrainGrace) {
+    harness.nextPoll(500);
+    ::close(std::exchange(harness.connection, -1));
+  }
+  EXPECT_FALSE(harness.policy.mayBeginAttempts());
+}
+
 // An agent that breaks must not take the deliveries with it.
 TEST(DiscoveryReturn, AttemptsGoOnWhileEveryPollIsResetWithoutAnAnswer) {
   DiscoveryHarness harness(8, DiscoveryKind::localAgent);
