Testbed: the emulated discovery has a class of its own, and answers each of several watches

EmulatedDiscovery owns the list, the open watches, the outages and what each dispatcher was notified of; isDispatcherFault() replaces a list of cases. One change of behaviour: a second watch of the same dispatcher took the place of the first, which was then never answered; now each is answered.

--- a/src/lab/emulated_servers.cpp
+++ b/src/lab/emulated_servers.cpp
@@ -7,8 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "lab/http_text.h"
 #include "net/http_client_connection.h"
-#include "policy/endpoint_state.h"
 
 namespace stonewing::lab {
 namespace {
@@ -16,27 +16,6 @@
 using nlohmann::json;
 
 constexpr std::uint32_t kReferencePrefix = 0x5705e000;  // so that a bare number is not a valid reference
-constexpr Millis kMaxWatchTimeout = 60000;
-
-std::string responseHead(int status, std::size_t length, const std::string& extraHeaders = "") {
-  const char* reason = status == 200 ? "OK" : status == 204 ? "No Content" : "Trouble";
-  std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reason + "\r\n" + extraHeaders;
-  if (status != 204) head += "Content-Length: " + std::to_string(length) + "\r\n";
-  return head + "\r\n";
-}
-
-const char* stateName(EndpointState state) {
-  return state == EndpointState::ready      ? "in_service"
-         : state == EndpointState::draining ? "terminating"
-                                            : "terminated";
-}
-
-std::string parameter(const std::string& target, const std::string& name) {
-  std::size_t start = target.find(name + "=");
-  if (start == std::string::npos) return "";
-  start += name.size() + 1;
-  return target.substr(start, target.find('&', start) - start);
-}
 
 }  // namespace
 
@@ -72,7 +51,10 @@
       experiment_(experiment),
       endpointModel_(endpointModel),
       trace_(trace),
-      wire_{WireFaults(experiment, seed), timers, 0, {}} {
+      wire_{WireFaults(experiment, seed), timers, 0, {}},
+      discovery_(loop, timers, clock, experiment, trace, [this](int dispatcher, std::uint32_t endpoint) {
+        return endpointServers_[endpoint][static_cast<std::size_t>(dispatcher)]->address();
+      }) {
   wire_.onStrike = [this](const WireLocation& location, FaultKind kind, std::uint32_t connection) {
     trace_.events.push_back({.at = clock_.now(),
                              .type = TraceEventType::responseAltered,
@@ -83,8 +65,6 @@
   };
   auto count = static_cast<std::size_t>(experiment.endpointCount());
   endpointServers_.resize(count);
-  notifiedStates_.assign(static_cast<std::size_t>(experiment.fleet.dispatchers),
-                         std::vector<EndpointState>(2 * count, EndpointState::ready));
   for (int d = 0; d < experiment.fleet.dispatchers; ++d) {
     std::string subnet = "127.0." + std::to_string(d + 1) + ".";
     platformServers_.push_back(std::make_unique<HttpServer>(loop, *this, subnet + "1", &wire_,
@@ -98,7 +78,6 @@
       locations_[servers.back().get()] = {d, e};
     }
   }
-  for (std::uint32_t e = 0; e < count; ++e) entries_.push_back({e, EndpointState::ready, 1});
 }
 
 EmulatedServers::~EmulatedServers() = default;
@@ -113,126 +92,6 @@
   return near ? experiment_.environment.nearOneWay : experiment_.environment.farOneWay;
 }
 
-std::string EmulatedServers::entryText(int dispatcher, const DiscoveryEntry& entry) const {
-  auto count = static_cast<std::uint32_t>(experiment_.endpointCount());
-  std::uint32_t endpoint = entry.endpoint % count;
-  bool fictitious = entry.endpoint >= count;  // of a discoveryWrong fault: no server has this address
-  json row{{"id", (fictitious ? "ghost-" : "s-") + std::to_string(endpoint)},
-           {"addr", fictitious ? "127.0.0.1:1"
-                               : endpointServers_[endpoint][static_cast<std::size_t>(dispatcher)]->address()},
-           {"zone", experiment_.environment
-                        .zones[static_cast<std::size_t>(experiment_.zoneOf(static_cast<int>(endpoint)))]},
-           {"kind", "partner"},
-           {"cell", experiment_.destinationOf(static_cast<int>(endpoint))},
-           {"state", stateName(entry.state)},
-           {"weight", fictitious ? 1e6 : 1.0},
-           {"started_ms", 0}};
-  return row.dump();
-}
-
-std::string EmulatedServers::endpointList(int dispatcher) const {
-  std::string rows;
-  for (const DiscoveryEntry& e : entries_) {
-    if (e.state != EndpointState::removed) rows += (rows.empty() ? "" : ",") + entryText(dispatcher, e);
-  }
-  return R"({"version":)" + std::to_string(version_) + R"(,"full":true,"servers":[)" + rows + "]}";
-}
-
-void EmulatedServers::recordNotified(int dispatcher, const DiscoveryEntry& entry) {
-  EndpointState& notified = notifiedStates_[static_cast<std::size_t>(dispatcher)][entry.endpoint];
-  if (notified == entry.state) return;
-  notified = entry.state;
-  trace_.events.push_back({.at = clock_.now(),
-                           .type = TraceEventType::endpointStateNotified,
-                           .endpoint = entry.endpoint,
-                           .dispatcher = static_cast<std::uint16_t>(dispatcher),
-                           .status = static_cast<std::int16_t>(entry.state)});
-}
-
-void EmulatedServers::answerWatch(int dispatcher, std::int64_t since, HttpServerConnection& connection) {
-  std::string rows;
-  for (const DiscoveryEntry& e : entries_) {
-    if (e.version <= since) continue;
-    rows += (rows.empty() ? "" : ",") + entryText(dispatcher, e);
-    recordNotified(dispatcher, e);
-  }
-  std::string body =
-      R"({"version":)" + std::to_string(version_) + R"(,"full":false,"servers":[)" + rows + "]}";
-  connection.respond(responseHead(200, body.size()) + body);
-}
-
-void EmulatedServers::handleDiscovery(const ServerLocation& location, HttpServerConnection& connection,
-                                      const HttpRequest& request) {
-  if (clock_.now() < discoveryUnresponsiveUntil_) return strikePoll(location.dispatcher, connection);
-  std::string since = parameter(request.target, "since");
-  if (since.empty()) {
-    std::string body = endpointList(location.dispatcher);
-    for (const DiscoveryEntry& e : entries_) recordNotified(location.dispatcher, e);
-    return connection.respond(responseHead(200, body.size()) + body);
-  }
-  auto from = static_cast<std::int64_t>(parseWholeNumber(since).value_or(0));
-  if (version_ > from) return answerWatch(location.dispatcher, from, connection);
-  auto timeout = static_cast<Millis>(parseWholeNumber(parameter(request.target, "timeout_ms")).value_or(0));
-  std::uint64_t serial = ++lastWatchSerial_;
-  watches_[location.dispatcher] = {&connection, from, serial};
-  timers_.schedule(loop_.now() + std::min(timeout, kMaxWatchTimeout),
-                   [this, d = location.dispatcher, serial] {
-                     auto found = watches_.find(d);
-                     if (found == watches_.end() || found->second.serial != serial) return;
-                     PendingWatch watch = found->second;
-                     watches_.erase(found);
-                     if (clock_.now() >= discoveryUnresponsiveUntil_)
-                       answerWatch(d, watch.since, *watch.connection);
-                   });
-}
-
-void EmulatedServers::publish(std::uint32_t endpoint, EndpointState state) {
-  Millis delay = std::max(discoveryDelay_, discoveryUnresponsiveUntil_ - clock_.now());
-  timers_.schedule(loop_.now() + std::max(0.0, delay), [this, endpoint, state] {
-    ++version_;
-    auto entry = std::find_if(entries_.begin(), entries_.end(),
-                              [&](const DiscoveryEntry& e) { return e.endpoint == endpoint; });
-    if (entry == entries_.end()) entry = entries_.insert(entries_.end(), {endpoint, state, version_});
-    entry->state = state;
-    entry->version = version_;
-    for (int d = 0; experiment_.environment.listPushed && d < experiment_.fleet.dispatchers; ++d) {
-      recordNotified(d, *entry);
-    }
-    for (auto& [d, watch] : std::exchange(watches_, {})) answerWatch(d, watch.since, *watch.connection);
-  });
-}
-
-void EmulatedServers::applyDiscoveryOutage(const Fault& fault, bool begins) {
-  bool isRefusing = fault.kind == FaultKind::discoveryRefusing;
-  if (begins) {
-    discoveryUnresponsiveUntil_ = fault.until;
-    discoveryOutage_ = fault.kind;
-    for (int d = 0; isRefusing && d < experiment_.fleet.dispatchers; ++d) recordPollStruck(d, fault.kind);
-    for (auto& [d, watch] : std::exchange(watches_, {})) strikePoll(d, *watch.connection);
-  }
-  if (!isRefusing) return;
-  for (auto& server : platformServers_) server->setRefusing(begins);
-}
-
-void EmulatedServers::strikePoll(int dispatcher, HttpServerConnection& connection) {
-  recordPollStruck(dispatcher, discoveryOutage_);
-  if (discoveryOutage_ == FaultKind::discoveryResetting) connection.reset();
-  if (discoveryOutage_ == FaultKind::discoveryRejecting) connection.respond(kRejection);
-}
-
-void EmulatedServers::recordPollStruck(int dispatcher, FaultKind kind) {
-  trace_.events.push_back({.at = clock_.now(),
-                           .type = TraceEventType::pollStruck,
-                           .dispatcher = static_cast<std::uint16_t>(dispatcher),
-                           .status = static_cast<std::int16_t>(kind)});
-}
-
-void EmulatedServers::forgetWatches() {
-  for (const auto& [d, watch] : std::exchange(watches_, {})) {
-    recordPollStruck(d, FaultKind::watchesForgotten);
-  }
-}
-
 void EmulatedServers::handleNotifications(HttpServerConnection& connection, const HttpRequest& request) {
   std::string_view rest = request.body;
   struct Notification {
@@ -300,7 +159,7 @@
       return;
     }
   } else if (request.method == "GET" && request.target.starts_with("/catalog/members")) {
-    return handleDiscovery(location, connection, request);
+    return discovery_.receivePoll(location.dispatcher, connection, request);
   } else if (request.method == "POST" && request.target == "/reports") {
     return handleNotifications(connection, request);
   }
@@ -435,8 +294,7 @@
 void EmulatedServers::connectionClosed(HttpServer& server, HttpServerConnection& connection) {
   const ServerLocation& location = locations_.at(&server);
   if (location.endpoint < 0) {
-    std::erase_if(watches_, [&](const auto& w) { return w.second.connection == &connection; });
-    return;
+    return discovery_.connectionClosed(connection);
   }
   auto endpoint = static_cast<std::uint32_t>(location.endpoint);
   if (auto found = requestOf_.find(&connection); found != requestOf_.end()) {
@@ -463,38 +321,10 @@
 void EmulatedServers::applyFault(const Fault& fault, bool begins) {
   wire_.faults.apply(fault, begins);
   if (isWireFault(fault.kind)) return;
-  switch (fault.kind) {
-    case FaultKind::drain:
-      for (int e : experiment_.affectedEndpoints(fault))
-        publish(static_cast<std::uint32_t>(e), begins ? EndpointState::draining : EndpointState::ready);
-      return;
-    case FaultKind::discoveryWrong:
-      for (int e : experiment_.affectedEndpoints(fault)) {
-        if (e % experiment_.environment.endpoints != 0) continue;
-        publish(static_cast<std::uint32_t>(experiment_.endpointCount() + e),
-                begins ? EndpointState::ready : EndpointState::removed);
-      }
-      return;
-    case FaultKind::discoveryDelayed:
-      discoveryDelay_ = begins ? fault.factor : 0;
-      return;
-    case FaultKind::discoveryUnresponsive:
-    case FaultKind::discoveryRefusing:
-    case FaultKind::discoveryResetting:
-    case FaultKind::discoveryRejecting:
-      return applyDiscoveryOutage(fault, begins);
-    case FaultKind::watchesForgotten:
-      if (begins) forgetWatches();
-      return;
-    case FaultKind::kill:
-    case FaultKind::stop:
-    case FaultKind::terminate:
-    case FaultKind::diskFull:
-    case FaultKind::diskHang:
-      return;
-    default:
-      break;
+  if (fault.kind == FaultKind::discoveryRefusing) {
+    for (auto& server : platformServers_) server->setRefusing(begins);
   }
+  if (discovery_.applyFault(fault, begins) || isDispatcherFault(fault.kind)) return;
   for (const EndpointResponse& response : endpointModel_.applyFault(clock_.now(), fault, begins))
     scheduleResponse(response);
   for (int n : experiment_.affectedEndpoints(fault)) {
--- a/src/lab/emulated_servers.h
+++ b/src/lab/emulated_servers.h
@@ -7,12 +7,12 @@
 #include <string>
 #include <vector>
 
+#include "lab/emulated_discovery.h"
 #include "lab/endpoint_model.h"
 #include "lab/experiment.h"
 #include "lab/http_server.h"
 #include "lab/timer_queue.h"
 #include "lab/trace.h"
-#include "policy/endpoint_state.h"
 
 namespace stonewing::lab {
 
@@ -29,7 +29,7 @@
   // Where the dispatcher reaches discovery and the platform, as host:port.
   std::string discoveryAddress(int dispatcher) const;
   // The endpoint list that a dispatcher starts with, as the JSON body of a discovery response.
-  std::string endpointList(int dispatcher) const;
+  std::string endpointList(int dispatcher) const { return discovery_.endpointList(dispatcher); }
   // A fault of endpoints or of discovery begins or ends. Faults of dispatchers are ignored.
   void applyFault(const Fault& fault, bool begins);
   // Called for each message that the platform is notified of, if set. result: 1 failed, 2 shed. retryAfter is
@@ -47,17 +47,6 @@
     int dispatcher{};
     int endpoint{-1};  // negative: discovery and the platform
   };
-  struct DiscoveryEntry {
-    std::uint32_t endpoint{};
-    EndpointState state{EndpointState::ready};
-    std::int64_t version{1};
-  };
-  // A discovery request that is answered once the list changes, or at its timeout.
-  struct PendingWatch {
-    HttpServerConnection* connection{};
-    std::int64_t since{};
-    std::uint64_t serial{};
-  };
   struct PendingRequest {
     HttpServerConnection* connection{};
     std::vector<std::uint32_t> messages;
@@ -81,19 +70,7 @@
   void writeResponse(std::uint32_t request, const EndpointResponse& response);
   void scheduleAdvance(std::uint32_t endpoint);
   void updateConnectionLimit(std::uint32_t endpoint);
-  void handleDiscovery(const ServerLocation& location, HttpServerConnection& connection,
-                       const HttpRequest& request);
-  // Records that discovery has told a dispatcher the state of an endpoint, if it is news to it.
-  void recordNotified(int dispatcher, const DiscoveryEntry& entry);
-  void answerWatch(int dispatcher, std::int64_t since, HttpServerConnection& connection);
-  void publish(std::uint32_t endpoint, EndpointState state);
-  void applyDiscoveryOutage(const Fault& fault, bool begins);
-  // Ends or drops a poll as the present outage does.
-  void strikePoll(int dispatcher, HttpServerConnection& connection);
-  void recordPollStruck(int dispatcher, FaultKind kind);
-  void forgetWatches();
   void handleNotifications(HttpServerConnection& connection, const HttpRequest& request);
-  std::string entryText(int dispatcher, const DiscoveryEntry& entry) const;
   Millis oneWayDelay(const ServerLocation& location) const;
 
   EventLoop& loop_;
@@ -109,15 +86,8 @@
   std::map<const HttpServerConnection*, std::uint32_t> requestOf_;
   std::map<std::uint32_t, PendingRequest> pendingRequests_;
   std::map<std::uint32_t, Millis> advanceAt_;
-  std::vector<DiscoveryEntry> entries_;
-  std::int64_t version_{1};
-  std::vector<std::vector<EndpointState>> notifiedStates_;  // by dispatcher, then endpoint
-  std::map<int, PendingWatch> watches_;                     // by dispatcher
-  std::uint64_t lastWatchSerial_{0};
+  EmulatedDiscovery discovery_;
   std::uint32_t nextRequest_{1};
-  Millis discoveryDelay_{0};
-  Millis discoveryUnresponsiveUntil_{0};
-  FaultKind discoveryOutage_{FaultKind::discoveryUnresponsive};  // the present one, or the last
   bool acceptsUnknownMessages_{false};
 };
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -432,6 +432,11 @@
          kind == FaultKind::discoveryResetting || kind == FaultKind::discoveryRejecting;
 }
 
+bool isDispatcherFault(FaultKind kind) {
+  return kind == FaultKind::kill || kind == FaultKind::stop || kind == FaultKind::terminate ||
+         kind == FaultKind::diskFull || kind == FaultKind::diskHang;
+}
+
 const char* nameOf(FaultKind kind) {
   for (const auto& [name, value] : kFaultKinds) {
     if (value == kind) return name;
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -132,6 +132,9 @@
 // at its end.
 bool isDiscoveryOutage(FaultKind kind);
 
+// Whether a fault of this kind strikes dispatchers and their processes.
+bool isDispatcherFault(FaultKind kind);
+
 // Whose responses a machine between servers and dispatchers alters.
 enum class ResponseSource { endpoint, discovery, platform };
 
