--- a/src/lab/audit.cpp
+++ b/src/lab/audit.cpp
@@ -90,7 +90,7 @@
       case TraceEventType::destinationOverloaded:
       case TraceEventType::zoneOverloaded:
       case TraceEventType::responseAltered:
-      case TraceEventType::pollStruck:
+      case TraceEventType::faultStruck:
         return false;
       default:
         return e.message < trace_.messages.size();
--- a/src/lab/emulated_discovery.cpp
+++ b/src/lab/emulated_discovery.cpp
@@ -14,6 +14,8 @@
 
 constexpr Millis kMaxWatchTimeout = 60000;
 constexpr double kWrongEntryWeight = 1e6;
+// What discovery has counts as notified this long after it moved to another address.
+constexpr Millis kMoveGrace = 4000;
 
 const char* stateName(EndpointState state) {
   return state == EndpointState::ready      ? "in_service"
@@ -42,6 +44,7 @@
   // Behind the endpoints come the entries of discoveryWrong faults.
   notifiedStates_.assign(static_cast<std::size_t>(experiment.fleet.dispatchers),
                          std::vector<EndpointState>(std::size_t{2} * count, EndpointState::ready));
+  notifiedFrom_.assign(static_cast<std::size_t>(experiment.fleet.dispatchers), 0);
   for (std::uint32_t e = 0; e < count; ++e) entries_.push_back({e, EndpointState::ready, 1});
 }
 
@@ -111,12 +114,12 @@
                                   HttpServerConnection& connection) {
   std::uint64_t serial = ++lastWatchSerial_;
   watches_[&connection] = {dispatcher, since, serial};
-  timers_.schedule(loop_.now() + timeout, [this, held = &connection, serial] {
-    auto found = watches_.find(held);
+  timers_.schedule(loop_.now() + timeout, [this, watched = &connection, serial] {
+    auto found = watches_.find(watched);
     if (found == watches_.end() || found->second.serial != serial) return;
     PendingWatch watch = found->second;
     watches_.erase(found);
-    if (!isInOutage()) answerWatch(watch.dispatcher, watch.since, *held);
+    if (!isInOutage()) answerWatch(watch.dispatcher, watch.since, *watched);
   });
 }
 
@@ -137,13 +140,25 @@
   entry->state = state;
   entry->version = version_;
   for (int d = 0; experiment_.environment.listPushed && d < experiment_.fleet.dispatchers; ++d) {
-    recordNotified(d, *entry);
+    if (clock_.now() >= notifiedFrom_[static_cast<std::size_t>(d)]) recordNotified(d, *entry);
   }
   for (auto& [connection, watch] : std::exchange(watches_, {})) {
     answerWatch(watch.dispatcher, watch.since, *connection);
   }
 }
 
+void EmulatedDiscovery::recordMoved(int dispatcher) {
+  recordStruck(dispatcher, FaultKind::discoveryMoved);
+  Millis from = clock_.now() + kMoveGrace;
+  notifiedFrom_[static_cast<std::size_t>(dispatcher)] = from;
+  if (!experiment_.environment.listPushed) return;
+  timers_.schedule(loop_.now() + kMoveGrace, [this, dispatcher, from] {
+    bool hasMovedAgain = notifiedFrom_[static_cast<std::size_t>(dispatcher)] != from;
+    if (hasMovedAgain) return;
+    for (const Entry& e : entries_) recordNotified(dispatcher, e);
+  });
+}
+
 void EmulatedDiscovery::publishWrongEntries(const Fault& fault, bool begins) {
   for (int e : experiment_.affectedEndpoints(fault)) {
     if (e % experiment_.environment.endpoints != 0) continue;
@@ -191,7 +206,7 @@
 
 void EmulatedDiscovery::recordStruck(int dispatcher, FaultKind kind) {
   trace_.events.push_back({.at = clock_.now(),
-                           .type = TraceEventType::pollStruck,
+                           .type = TraceEventType::faultStruck,
                            .dispatcher = static_cast<std::uint16_t>(dispatcher),
                            .status = static_cast<std::int16_t>(kind)});
 }
--- a/src/lab/emulated_discovery.h
+++ b/src/lab/emulated_discovery.h
@@ -31,6 +31,8 @@
   void receivePoll(int dispatcher, HttpServerConnection& connection, const HttpRequest& request);
   // The connection of a poll has ended.
   void connectionClosed(const HttpServerConnection& connection);
+  // Discovery moves to another address for this dispatcher, which is told so now.
+  void recordMoved(int dispatcher);
   // A fault begins or ends. Returns false for faults that are none of discovery. For
   // FaultKind::discoveryRefusing, the caller closes the ports.
   bool applyFault(const Fault& fault, bool begins);
@@ -73,6 +75,8 @@
   std::vector<Entry> entries_;
   std::int64_t version_{1};
   std::vector<std::vector<EndpointState>> notifiedStates_;  // by dispatcher, then endpoint
+  // By dispatcher: when it counts as notified of what discovery has, although it does not poll.
+  std::vector<Millis> notifiedFrom_;
   std::map<HttpServerConnection*, PendingWatch> watches_;
   std::uint64_t lastWatchSerial_{0};
   Millis publishingDelay_{0};
--- a/src/lab/emulated_servers.cpp
+++ b/src/lab/emulated_servers.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <utility>
 
 #include "lab/http_text.h"
 #include "net/http_client_connection.h"
@@ -15,6 +16,8 @@
 
 using nlohmann::json;
 
+// After a move, the connections to the old address stay open for so long.
+constexpr Millis kOldAddressOpenFor = 1500;
 constexpr std::uint32_t kReferencePrefix = 0x5705e000;  // so that a bare number is not a valid reference
 
 }  // namespace
@@ -67,9 +70,13 @@
   endpointServers_.resize(count);
   for (int d = 0; d < experiment.fleet.dispatchers; ++d) {
     std::string subnet = "127.0." + std::to_string(d + 1) + ".";
-    platformServers_.push_back(std::make_unique<HttpServer>(loop, *this, subnet + "1", &wire_,
-                                                            WireLocation{ResponseSource::platform, -1, d}));
-    locations_[platformServers_.back().get()] = {d, -1};
+    PlatformServers& platform = platformServers_.emplace_back();
+    for (auto& server : platform.servers) {
+      server = std::make_unique<HttpServer>(loop, *this, subnet + "1", &wire_,
+                                            WireLocation{ResponseSource::platform, -1, d});
+      locations_[server.get()] = {d, -1};
+    }
+    platform.servers[1]->setAcceptPaused(true);
     for (int e = 0; e < experiment.endpointCount(); ++e) {
       auto& servers = endpointServers_[static_cast<std::size_t>(e)];
       servers.push_back(std::make_unique<HttpServer>(loop, *this,
@@ -83,7 +90,19 @@
 EmulatedServers::~EmulatedServers() = default;
 
 std::string EmulatedServers::discoveryAddress(int dispatcher) const {
-  return platformServers_[static_cast<std::size_t>(dispatcher)]->address();
+  const PlatformServers& platform = platformServers_[static_cast<std::size_t>(dispatcher)];
+  return platform.servers[platform.current]->address();
+}
+
+void EmulatedServers::moveDiscovery(int dispatcher) {
+  PlatformServers& platform = platformServers_[static_cast<std::size_t>(dispatcher)];
+  std::size_t old = std::exchange(platform.current, 1 - platform.current);
+  platform.servers[old]->setAcceptPaused(true);
+  platform.servers[platform.current]->setAcceptPaused(false);
+  discovery_.recordMoved(dispatcher);
+  timers_.schedule(loop_.now() + kOldAddressOpenFor, [&platform, old] {
+    if (platform.current != old) platform.servers[old]->resetConnections();
+  });
 }
 
 Millis EmulatedServers::oneWayDelay(const ServerLocation& location) const {
@@ -322,7 +341,9 @@
   wire_.faults.apply(fault, begins);
   if (isWireFault(fault.kind)) return;
   if (fault.kind == FaultKind::discoveryRefusing) {
-    for (auto& server : platformServers_) server->setRefusing(begins);
+    for (PlatformServers& platform : platformServers_) {
+      for (auto& server : platform.servers) server->setRefusing(begins);
+    }
   }
   if (discovery_.applyFault(fault, begins) || isDispatcherFault(fault.kind)) return;
   for (const EndpointResponse& response : endpointModel_.applyFault(clock_.now(), fault, begins))
--- a/src/lab/emulated_servers.h
+++ b/src/lab/emulated_servers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,9 @@
   std::string discoveryAddress(int dispatcher) const;
   // The endpoint list that a dispatcher starts with, as the JSON body of a discovery response.
   std::string endpointList(int dispatcher) const { return discovery_.endpointList(dispatcher); }
+  // Discovery and the platform are at another address from now on. The old one accepts no new connection and
+  // ends the open ones later.
+  void moveDiscovery(int dispatcher);
   // A fault of endpoints or of discovery begins or ends. Faults of dispatchers are ignored.
   void applyFault(const Fault& fault, bool begins);
   // Called for each message that the platform is notified of, if set. result: 1 failed, 2 shed. retryAfter is
@@ -47,6 +51,11 @@
     int dispatcher{};
     int endpoint{-1};  // negative: discovery and the platform
   };
+  // Where a dispatcher reaches discovery and the platform: at one of the two.
+  struct PlatformServers {
+    std::array<std::unique_ptr<HttpServer>, 2> servers;
+    std::size_t current{0};
+  };
   struct PendingRequest {
     HttpServerConnection* connection{};
     std::vector<std::uint32_t> messages;
@@ -82,7 +91,7 @@
   Wire wire_;
   std::map<const HttpServer*, ServerLocation> locations_;
   std::vector<std::vector<std::unique_ptr<HttpServer>>> endpointServers_;  // by endpoint, then dispatcher
-  std::vector<std::unique_ptr<HttpServer>> platformServers_;               // by dispatcher
+  std::vector<PlatformServers> platformServers_;                           // by dispatcher
   std::map<const HttpServerConnection*, std::uint32_t> requestOf_;
   std::map<std::uint32_t, PendingRequest> pendingRequests_;
   std::map<std::uint32_t, Millis> advanceAt_;
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -39,6 +39,8 @@
     {"list-refuses", FaultKind::discoveryRefusing},
     {"list-resets", FaultKind::discoveryResetting},
     {"list-rejects", FaultKind::discoveryRejecting},
+    {"list-moves", FaultKind::discoveryMoved},
+    {"crowd", FaultKind::clientCrowd},
     {"watch-forgotten", FaultKind::watchesForgotten},
     {"drain", FaultKind::drain},
     {"list-wrong", FaultKind::discoveryWrong},
@@ -434,7 +436,8 @@
 
 bool isDispatcherFault(FaultKind kind) {
   return kind == FaultKind::kill || kind == FaultKind::stop || kind == FaultKind::terminate ||
-         kind == FaultKind::diskFull || kind == FaultKind::diskHang;
+         kind == FaultKind::diskFull || kind == FaultKind::diskHang || kind == FaultKind::discoveryMoved ||
+         kind == FaultKind::clientCrowd;
 }
 
 const char* nameOf(FaultKind kind) {
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -104,6 +104,8 @@
   discoveryRefusing,      // discovery's port refuses connections, and open ones are reset
   discoveryResetting,     // discovery accepts connections and resets them without a response
   discoveryRejecting,     // discovery answers every poll with 503
+  discoveryMoved,         // SIGHUP of a dispatcher: discovery and the platform move to another address
+  clientCrowd,            // `factor` idle clients connect to a dispatcher
   watchesForgotten,       // polls that discovery holds open at the beginning are never answered
   drain,                  // the endpoint list states the endpoints as draining, and as ready at the end
   discoveryWrong,         // the endpoint list has an entry of very high weight with no endpoint behind it
--- a/src/lab/fault_strikes.h
+++ b/src/lab/fault_strikes.h
@@ -8,8 +8,8 @@
 
 namespace stonewing::lab {
 
-// How many responses each kind of fault altered. Holds a count, which may be 0, for each kind in the
-// experiment that acts on responses.
+// How often each kind of fault struck. Holds a count, which may be 0, for each kind in the experiment that
+// acts on responses, on polls of discovery or on clients.
 std::map<FaultKind, int> faultStrikes(const Experiment& experiment, const Trace& trace);
 
 // The counts in one line; empty without such faults.
--- a/src/lab/http_server.cpp
+++ b/src/lab/http_server.cpp
@@ -250,12 +250,16 @@
   refusing_ = on;
   if (on) {
     stop();
-    while (!connections_.empty()) connections_.front()->reset();
+    resetConnections();
   } else if (!acceptPaused_) {
     listen(kBacklog);
   }
 }
 
+void HttpServer::resetConnections() {
+  while (!connections_.empty()) connections_.front()->reset();
+}
+
 void HttpServer::setAcceptPaused(bool on) {
   if (acceptPaused_ == on) return;
   acceptPaused_ = on;
--- a/src/lab/http_server.h
+++ b/src/lab/http_server.h
@@ -97,6 +97,8 @@
   // On: refuses new connections and resets the open ones. Off: listens again at the same address, unless
   // accepting is paused; throws std::system_error if the address cannot be bound.
   void setRefusing(bool on);
+  // Resets the open connections.
+  void resetConnections();
   // While on, connection attempts get no answer and open connections become unresponsive.
   void setUnreachable(bool on);
   // On: refuses new connections and keeps the open ones. Off: listens again, unless setRefusing is on; throws
--- a/src/lab/load_generator.cpp
+++ b/src/lab/load_generator.cpp
@@ -196,12 +196,12 @@
   if (arrivalModel_.timeLeft(message, now) <= 0) return;
   for (std::size_t tried = 0; tried < dispatchers_.size(); ++tried) {
     std::size_t d = nextDispatcher_++ % dispatchers_.size();
-    if (avoidUntil_[d] > now) continue;
     ClientConnection* connection = nullptr;
-    if (!idleConnections_[d].empty()) {
+    if (!idleConnections_[d].empty()) {  // it is used until it ends, whether or not new ones are refused
       connection = idleConnections_[d].back();
       idleConnections_[d].pop_back();
     } else {
+      if (avoidUntil_[d] > now) continue;
       auto opened = std::make_unique<ClientConnection>(*this, static_cast<int>(d));
       if (!opened->open()) {
         avoidUntil_[d] = now + kRefusedDispatcherPause;
--- a/src/lab/model.cpp
+++ b/src/lab/model.cpp
@@ -787,7 +787,9 @@
         if (begins) discoveryUnresponsiveUntil_ = fault.until;
         return;
       case FaultKind::watchesForgotten:
-        return;  // the model has no polls
+      case FaultKind::discoveryMoved:
+      case FaultKind::clientCrowd:
+        return;  // the model has no polls and no connections of clients
       case FaultKind::discoveryWrong:
         // Adds to the list of each affected destination an endpoint that does not exist.
         for (int e : experiment_.affectedEndpoints(fault)) {
--- a/src/lab/run.cpp
+++ b/src/lab/run.cpp
@@ -16,6 +16,7 @@
 #include "lab/arrival_model.h"
 #include "lab/emulated_servers.h"
 #include "lab/endpoint_model.h"
+#include "lab/idle_clients.h"
 #include "lab/load_generator.h"
 #include "lab/timer_queue.h"
 
@@ -86,21 +87,22 @@
         arrivalModel_(experiment, seed, result_.trace),
         endpointModel_(experiment, seed ^ 0x5bd1e995u, result_.trace),
         servers_(loop_, timers_, clock_, experiment, seed ^ 0x2545f491u, endpointModel_, result_.trace) {
-    std::vector<std::string> addresses;
     bool hasDiskHang = std::any_of(experiment.faults.begin(), experiment.faults.end(),
                                    [](const Fault& fault) { return fault.kind == FaultKind::diskHang; });
     for (int d = 0; d < experiment.fleet.dispatchers; ++d) {
-      addresses.push_back(freeAddress(d));
+      addresses_.push_back(freeAddress(d));
+      idleClients_.push_back(std::make_unique<IdleClients>(loop_, timers_, addresses_.back(), [this, d] {
+        record(TraceEventType::faultStruck, d, static_cast<int>(FaultKind::clientCrowd));
+      }));
       std::string folder = options.folder + "/n" + std::to_string(d);
       processes_.push_back(
           std::make_unique<DispatcherProcess>(options.binary, folder, hasDiskHang ? STONEWING_HANG : ""));
       std::filesystem::remove(folder + "/state/journal");
-      processes_.back()->configure(
-          configurationOf(experiment, d, addresses.back(), servers_.discoveryAddress(d),
-                          std::filesystem::absolute(folder + "/state").string(), servers_.endpointList(d)));
+      knownLists_.push_back(servers_.endpointList(d));
+      configure(d);
     }
     loadGenerator_ = std::make_unique<LoadGenerator>(loop_, timers_, clock_, experiment, arrivalModel_,
-                                                     result_.trace, addresses);
+                                                     result_.trace, addresses_);
     servers_.onNotification = [this](std::uint32_t message, int result, Millis retryAfter) {
       if (result == 2) loadGenerator_->recordShed(message, retryAfter);
     };
@@ -142,6 +144,19 @@
  private:
   DispatcherProcess& process(int d) { return *processes_[static_cast<std::size_t>(d)]; }
 
+  void configure(int d) {
+    std::string state = std::filesystem::absolute(process(d).folder() + "/state").string();
+    process(d).configure(configurationOf(experiment_, d, addresses_[static_cast<std::size_t>(d)],
+                                         servers_.discoveryAddress(d), state,
+                                         knownLists_[static_cast<std::size_t>(d)]));
+  }
+
+  void moveDiscovery(int d) {
+    servers_.moveDiscovery(d);
+    configure(d);
+    process(d).signal(SIGHUP);
+  }
+
   void runLoopOnce() { timer_.runOnce(timers_); }
 
   void begin() {
@@ -200,6 +215,13 @@
           process(d).signal(begins ? SIGSTOP : SIGCONT);
           record(begins ? TraceEventType::dispatcherDown : TraceEventType::dispatcherUp, d, 1);
           break;
+        case FaultKind::discoveryMoved:
+          if (begins) moveDiscovery(d);
+          break;
+        case FaultKind::clientCrowd:
+          idleClients_[static_cast<std::size_t>(d)]->setCount(begins ? static_cast<std::size_t>(fault.factor)
+                                                                     : 0);
+          break;
         case FaultKind::diskFull:
           process(d).limitFileSize(begins);
           break;
@@ -279,7 +301,10 @@
   ArrivalModel arrivalModel_;
   EndpointModel endpointModel_;
   EmulatedServers servers_;
+  std::vector<std::string> addresses_;   // by dispatcher, where it listens
+  std::vector<std::string> knownLists_;  // by dispatcher, the endpoint list that it starts from
   std::vector<std::unique_ptr<DispatcherProcess>> processes_;
+  std::vector<std::unique_ptr<IdleClients>> idleClients_;  // by dispatcher
   std::unique_ptr<LoadGenerator> loadGenerator_;
   Millis nextEndCheckAt_{0};
 };
--- a/src/lab/trace.cpp
+++ b/src/lab/trace.cpp
@@ -31,8 +31,8 @@
                                      "fell",
                                      "room-fell",
                                      "answer-altered",
-                                     "poll-struck"};
-static_assert(kEventTypeNames.size() == static_cast<std::size_t>(TraceEventType::pollStruck) + 1);
+                                     "fault-struck"};
+static_assert(kEventTypeNames.size() == static_cast<std::size_t>(TraceEventType::faultStruck) + 1);
 
 std::ofstream openForWriting(const std::string& path) {
   std::ofstream out(path, std::ios::binary);
--- a/src/lab/trace.h
+++ b/src/lab/trace.h
@@ -31,7 +31,7 @@
   destinationOverloaded,  // a destination failed from overload during slow start; message: its number
   zoneOverloaded,         // a zone failed from overload during slow start; message: its number
   responseAltered,        // a fault altered a response; status: a FaultKind, request: the server's connection
-  pollStruck,             // an outage of discovery met a dispatcher's poll or port; status: a FaultKind
+  faultStruck,            // a fault met a dispatcher's polls or its clients; status: a FaultKind
 };
 
 struct TraceEvent {
