--- a/src/lab/emulated_discovery.h
+++ b/src/lab/emulated_discovery.h
@@ -31,7 +31,7 @@
   void receivePoll(int dispatcher, HttpServerConnection& connection, const HttpRequest& request);
   // The connection of a poll has ended.
   void connectionClosed(const HttpServerConnection& connection);
-  // Discovery moves to another address for this dispatcher, which is told so now.
+  // Discovery moves to another address for this dispatcher, which learns of it now.
   void recordMoved(int dispatcher);
   // A fault begins or ends. Returns false for faults that are none of discovery. For
   // FaultKind::discoveryRefusing, the caller closes the ports.
