--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -36,6 +36,7 @@
       directory_(policy, log_, loop),
       retrySchedule_(timing, seed),
       unreadChange_(timing.maxPossibleChangeDuration),
+      answeredAt_(loop.now()),
       stallTimeout_(timing.minStallTimeout) {}
 
 bool DiscoveryClient::applyAnswer(const json& answer) { return applyList(parseEndpointList(answer, names_)); }
@@ -55,7 +56,8 @@
   bool listsAllEndpoints = list.extent == ListExtent::full && isAccepted;
   directory_.applyList(list, listsAllEndpoints ? EndpointDirectory::AbsentEndpoints::removed
                                                : EndpointDirectory::AbsentEndpoints::unchanged);
-  log_.listApplied(list, directory_.count(), loop_.now());
+  log_.listApplied(list, directory_.count(), loop_.now() - answeredAt_, loop_.now());
+  answeredAt_ = loop_.now();
   request_.extent = isAccepted ? ListExtent::changes : ListExtent::full;
   if (isAccepted) request_.since = list.version;
   return isAccepted;
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -111,6 +111,7 @@
 
   std::vector<std::unique_ptr<DiscoveryPoll>> polls_;  // pending, the oldest first
   std::uint64_t pollCount_{0};
+  Millis answeredAt_;                 // when a list was last applied
   Millis nextPollAt_{0};              // the earliest time for the next poll
   Millis stallTimeout_;               // of the newest poll
   std::optional<Millis> rejectedAt_;  // the last time
--- a/src/discovery/discovery_log.cpp
+++ b/src/discovery/discovery_log.cpp
@@ -53,13 +53,15 @@
             {{"poll", poll}, {"bytes", bytes}, {"evidence", isCertain ? "certain" : "possible"}});
 }
 
-void DiscoveryLog::listApplied(const EndpointList& list, std::size_t endpointCount, Millis now) {
+void DiscoveryLog::listApplied(const EndpointList& list, std::size_t endpointCount, Millis sinceAnswer,
+                               Millis now) {
   if (list.entries.empty() || !log::isEnabled(log::Level::info) || !listLines_.allow(now)) return;
   log::event(log::Level::info, "discovery.list_applied",
              {{"version", list.version},
               {"extent", nameOf(list.extent)},
               {"entries", list.entries.size()},
               {"endpoints", endpointCount},
+              {"since_answer_ms", sinceAnswer},
               {"suppressed", listLines_.takeSuppressed()}});
 }
 
--- a/src/discovery/discovery_log.h
+++ b/src/discovery/discovery_log.h
@@ -35,8 +35,9 @@
   void pollEnded(const PollSummary& poll, Millis retryAfter, Millis now);
   // A change that is not read completely has begun to arrive; `bytes` of its response have.
   void changeUnread(std::uint64_t poll, std::size_t bytes, UnreadChange::Evidence evidence) const;
-  // A list was applied. Lists without entries are not logged.
-  void listApplied(const EndpointList& list, std::size_t endpointCount, Millis now);
+  // A list was applied, `sinceAnswer` after discovery had last answered a poll with one. Lists without
+  // entries are not logged.
+  void listApplied(const EndpointList& list, std::size_t endpointCount, Millis sinceAnswer, Millis now);
   // The list of this version changed an endpoint's state.
   void endpointStateChanged(const std::string& endpoint, EndpointState from, EndpointState to,
                             std::int64_t version, Millis now);
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -177,6 +177,27 @@
   EXPECT_TRUE(harness.policy.mayBeginAttempts());
 }
 
+// Without it, the log does not show how late a change was read after an open watch had fallen silent.
+TEST(DiscoveryReturn, TheLogTellsHowLongNoPollWasAnswered) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  int forgotten = std::exchange(harness.connection, -1);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  ::testing::internal::CaptureStdout();
+  harness.respond(listResponse(2, "terminating"));
+  harness.nextPoll(500);
+  std::string log = ::testing::internal::GetCapturedStdout();
+  ::close(forgotten);
+  std::size_t line = log.find("discovery.list_applied version=2");
+  ASSERT_NE(line, std::string::npos) << log;
+  const std::string field = "since_answer_ms=";
+  std::size_t at = log.find(field, line);
+  ASSERT_NE(at, std::string::npos) << log;
+  EXPECT_NEAR(std::stod(log.substr(at + field.size())), 250, 100);
+}
+
 // In calm, each watch that ends without a change is followed by one other.
 TEST(DiscoveryReturn, ACalmAgentIsPolledAFewTimesASecond) {
   DiscoveryHarness harness(8, DiscoveryKind::localAgent);
