Discovery: after a stall that no watch outlived, attempts wait until a poll is answered

Cause: what had arrived during a stall is read before attempts go out, but a watch that ends during it leaves nothing to read, and no poll was open when the change came. A local agent's list counts as notified all the same. Short watches make that likelier; it was so before them.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -93,6 +93,20 @@
   logAttemptsPaused();
 }
 
+void DiscoveryClient::readAfterStall(Millis stall) {
+  readPending();
+  if (!timing_.maxUnwatchedStall || stall <= *timing_.maxUnwatchedStall || isWatching()) return;
+  if (!unreadChange_.recordBegun(loop_.now(), UnreadChange::Evidence::possible)) return;
+  policy_.recordUnreadListChange(loop_.now() - stall);
+  log_.changePossible(stall);
+}
+
+bool DiscoveryClient::isWatching() const {
+  return std::any_of(polls_.begin(), polls_.end(), [this](const auto& poll) {
+    return poll->stage() == DiscoveryPoll::Stage::awaitingResponse && !isOverdue(*poll);
+  });
+}
+
 // A poll whose response is read may end, and other polls with it.
 void DiscoveryClient::readPending() {
   std::uint64_t lastRead = 0;
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -43,9 +43,9 @@
 
   // Starts a poll that is due, or ends a poll that has timed out.
   void onTick();
-  // Applies what discovery has sent since the last turn. For use after this process was held up, before it
-  // acts on decisions that are older.
-  void readPending();
+  // Applies what discovery has sent while this process was held up for `stall`, before it acts on older
+  // decisions. If no poll was open at the end of the stall, a change may be unread since its beginning.
+  void readAfterStall(Millis stall);
   // The time (steady clock) from which onTick() has something to do.
   Millis due() const;
   // Whether an answer to a poll has been accepted since the start. Before that, the endpoints may come from
@@ -66,6 +66,8 @@
   void onPollResponseStarted(DiscoveryPoll& poll) override;
   void onPollBroken(DiscoveryPoll& poll, PollEnd end) override;
 
+  void readPending();
+  bool isWatching() const;
   void endTimedOutPolls();
   // When the next poll starts, alone or beside one that stalls; no value if it waits for the pending ones.
   std::optional<Millis> nextStartAt() const;
--- a/src/discovery/discovery_log.cpp
+++ b/src/discovery/discovery_log.cpp
@@ -53,6 +53,10 @@
             {{"poll", poll}, {"bytes", bytes}, {"evidence", isCertain ? "certain" : "possible"}});
 }
 
+void DiscoveryLog::changePossible(Millis stall) const {
+  log::info("discovery.change_unread", {{"stalled_ms", stall}, {"evidence", "possible"}});
+}
+
 void DiscoveryLog::listApplied(const EndpointList& list, std::size_t endpointCount, Millis sinceAnswer,
                                Millis now) {
   if (list.entries.empty() || !log::isEnabled(log::Level::info) || !listLines_.allow(now)) return;
--- a/src/discovery/discovery_log.h
+++ b/src/discovery/discovery_log.h
@@ -35,6 +35,8 @@
   void pollEnded(const PollSummary& poll, Millis retryAfter, Millis now);
   // A change that is not read completely has begun to arrive; `bytes` of its response have.
   void changeUnread(std::uint64_t poll, std::size_t bytes, UnreadChange::Evidence evidence) const;
+  // The process was held up for `stall`, and no poll was open at the end.
+  void changePossible(Millis stall) const;
   // A list was applied, `sinceAnswer` after discovery had last answered a poll with one. Lists without
   // entries are not logged.
   void listApplied(const EndpointList& list, std::size_t endpointCount, Millis sinceAnswer, Millis now);
--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -20,6 +20,9 @@
   // A poll that is unanswered this long after discovery had to answer it gets another one beside it. Without
   // a value, it is waited for.
   std::optional<Millis> silenceTimeout;
+  // A longer stall of this process may have hidden a change, if no poll was open at its end. Without a value,
+  // what could not be read counts as not notified.
+  std::optional<Millis> maxUnwatchedStall;
   // The delay after a failure, doubled after each further one.
   Millis minRetryDelay{};
   Millis maxRetryDelay{};
@@ -84,6 +87,7 @@
   return {.watchTimeout = 2000,
           .sparingWatchTimeout = 2000,
           .silenceTimeout = std::nullopt,
+          .maxUnwatchedStall = std::nullopt,
           .minRetryDelay = 50,
           .maxRetryDelay = 1000,
           .rejectionDelay = 1800,
@@ -103,6 +107,7 @@
   return {.watchTimeout = std::min(shared.watchTimeout, unpolled - silenceTimeout),
           .sparingWatchTimeout = shared.sparingWatchTimeout,
           .silenceTimeout = silenceTimeout,
+          .maxUnwatchedStall = unpolled,
           .minRetryDelay = std::min(shared.minRetryDelay, maxDelay),
           .maxRetryDelay = std::min(shared.maxRetryDelay, maxDelay),
           .rejectionDelay = std::min(shared.rejectionDelay, maxDelay),
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -87,7 +87,7 @@
   if (decisions_.takeDueTimer(loop_.now())) policy_.recordTimerFired();
   turnMonitor_.beginTurn();
   // After a stall, a connection may be reported before the list that says that its endpoint drains.
-  if (loop_.stalledFor() > 0) discovery_.readPending();
+  if (loop_.stalledFor() > 0) discovery_.readAfterStall(loop_.stalledFor());
   loop_.dispatch();
   turnMonitor_.recordDispatched();
   if (signals_.takeReloadRequest()) reloader_.reload();
--- a/src/dispatcher/journal_committer.cpp
+++ b/src/dispatcher/journal_committer.cpp
@@ -52,9 +52,10 @@
 
 void JournalCommitter::executeCommitted() {
   cancelLostMessages();
+  const Millis decidedAt = loop_.now();
   if (loop_.refreshTime(kMaxTimeAge)) {
     policy_.beginRound(loop_.now());
-    discovery_.readPending();
+    discovery_.readAfterStall(loop_.now() - decidedAt);
   }
   sender_.sendRequests();
   server_.sendReplies([this](MessageId id) { return store_.isAcceptanceDecided(id); },
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -177,6 +177,49 @@
   EXPECT_TRUE(harness.policy.mayBeginAttempts());
 }
 
+// The watch ends while the process is held up, and nothing tells what has changed since.
+TEST(DiscoveryReturn, NoAttemptBeginsAfterAStallUntilAPollIsAnswered) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(httpResponse(200, R"({"version":1,"full":false,"servers":[]})"));
+  harness.turnAfterStall(1700);
+  EXPECT_FALSE(harness.policy.mayBeginAttempts());
+  ASSERT_NE(harness.nextPoll(100).requestLine, "");
+  EXPECT_FALSE(harness.policy.mayBeginAttempts());
+  harness.respond(listResponse(2, "terminating"));
+  EXPECT_TRUE(eventually(100, [&] {
+    harness.turn();
+    return harness.policy.mayBeginAttempts();
+  }));
+  EXPECT_FALSE(harness.isReady("s-1"));
+}
+
+TEST(DiscoveryReturn, AttemptsGoOnAfterAStallThroughWhichAWatchWasOpen) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(httpResponse(503, ""));  // a long watch follows
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.turnAfterStall(1000);
+  EXPECT_TRUE(harness.policy.mayBeginAttempts());
+}
+
+TEST(DiscoveryReturn, AttemptsGoOnSoonAfterAStallWhileDiscoveryIsSilentOrHasNoNews) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.turnAfterStall(1700);
+  EXPECT_FALSE(harness.policy.mayBeginAttempts());
+  Millis resumedAt = harness.loop.now();
+  EXPECT_TRUE(eventually(400, [&] {
+    harness.nextPoll(10);
+    return harness.policy.mayBeginAttempts();
+  }));
+  EXPECT_LT(harness.loop.now() - resumedAt, 300);
+}
+
 // Without it, the log does not show how late a change was read after an open watch had fallen silent.
 TEST(DiscoveryReturn, TheLogTellsHowLongNoPollWasAnswered) {
   DiscoveryHarness harness(8, DiscoveryKind::localAgent);
--- a/tests/support/discovery_harness.h
+++ b/tests/support/discovery_harness.h
@@ -3,7 +3,9 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "discovery/discovery_client.h"
 #include "settings/settings_reader.h"
@@ -69,6 +71,16 @@
     client.onTick();
   }
 
+  // Is held up for so long, and runs the part of a turn that comes before its decisions.
+  void turnAfterStall(Millis stall) {
+    std::this_thread::sleep_for(std::chrono::duration<double, std::milli>(stall));
+    loop.wait(loop.now());
+    policy.beginRound(loop.now());
+    client.readAfterStall(loop.stalledFor());
+    loop.dispatch();
+    client.onTick();
+  }
+
   // Waits at most `timeout` milliseconds for the next request.
   Poll nextPoll(Millis timeout) {
     Millis began = loop.now();
