Discovery: a discovery that answers up to 2.3 s late is read, as it was before watches were short

Cause: since a local agent's watch ends after 0.2 s, and the oldest poll was given up 0.5 s after that; each poll after it fared alike, so that none was ever read. With watches of 2 s, 2.5 s had been waited for. Change: a poll is given up 2.5 s after its start again. That costs nothing, as another one begins beside it after 0.25 s. A poll that was silent before a stall then lives longer than the stall, and its silence was taken for the answer that nothing had changed meanwhile. Now only a poll that began after the change may refute it.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -172,13 +172,22 @@
   return isSparing ? timing_.sparingWatchTimeout : timing_.watchTimeout;
 }
 
+// A poll that was silent before the change began says nothing of it.
+bool DiscoveryClient::isChangeRefutedByNewestPoll() const {
+  if (polls_.empty() || !unreadChange_.isOpen()) return false;
+  const DiscoveryPoll& newest = *polls_.back();
+  return newest.stage() == DiscoveryPoll::Stage::awaitingResponse &&
+         newest.stageSince() >= *unreadChange_.begunAt();
+}
+
 void DiscoveryClient::startPoll() {
-  bool isUnanswered = !polls_.empty() && polls_.back()->stage() == DiscoveryPoll::Stage::awaitingResponse;
-  if (isUnanswered && unreadChange_.recordUnanswered()) return closeUnreadChange("discovery tells no change");
+  if (isChangeRefutedByNewestPoll() && unreadChange_.recordUnanswered())
+    return closeUnreadChange("discovery tells no change");
   for (const auto& poll : polls_) applyLeavingEntriesOf(*poll);
   if (!polls_.empty()) stallTimeout_ = std::min(2 * stallTimeout_, timing_.maxStallTimeout);
   if (polls_.size() == kMaxPolls) endPoll(*polls_.back(), PollEnd::superseded);
   request_.watchTimeout = watchTimeout();
+  request_.responseGrace = timing_.responseGrace;
   polls_.push_back(std::make_unique<DiscoveryPoll>(loop_, *this, ++pollCount_, request_));
   if (auto failure = polls_.back()->start(address_, host_)) onPollBroken(*polls_.back(), *failure);
 }
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -77,6 +77,8 @@
   std::optional<Millis> overdueAt(const DiscoveryPoll& poll) const;
   bool isOverdue(const DiscoveryPoll& poll) const;
   Millis watchTimeout() const;
+  // Whether the newest poll is unanswered although discovery would have told it the unread change at once.
+  bool isChangeRefutedByNewestPoll() const;
   void startPoll();
   PollEnd applyResponse(const DiscoveryPoll& poll);
   bool applyList(const EndpointList& list);
--- a/src/discovery/discovery_poll.cpp
+++ b/src/discovery/discovery_poll.cpp
@@ -67,7 +67,7 @@
     case Stage::connecting:
       return startedAt_ + kConnectTimeout;
     case Stage::awaitingResponse:
-      return startedAt_ + watchTimeout() + kResponseGrace;
+      return startedAt_ + watchTimeout() + request_.responseGrace;
     case Stage::readingResponse:
       break;
   }
--- a/src/discovery/discovery_poll.h
+++ b/src/discovery/discovery_poll.h
@@ -19,6 +19,8 @@
   std::int64_t since{0};  // the version after which changes are asked for
   // How long discovery may wait for changes before it answers. A full list is answered at once.
   Millis watchTimeout{0};
+  // How much later the answer may come (PollTiming).
+  Millis responseGrace{0};
 };
 
 // One poll of discovery on a connection of its own: on a kept one, a repeated response would count for the
--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -20,6 +20,8 @@
   // A poll that is unanswered this long after discovery had to answer it gets another one beside it. Without
   // a value, it is waited for.
   std::optional<Millis> silenceTimeout;
+  // A poll that is unanswered this long after discovery had to answer it counts as failed.
+  Millis responseGrace{};
   // A longer stall of this process may have hidden a change, if no poll was open at its end. Without a value,
   // what could not be read counts as not notified.
   std::optional<Millis> maxUnwatchedStall;
@@ -49,8 +51,6 @@
 
 // How long after a rejection polls are made rarer.
 constexpr Millis kRejectionMemory = 4000;
-// A watch that is still unanswered this long after its time-out counts as failed.
-constexpr Millis kResponseGrace = 500;
 // Time-out of a connection that is not established. Another poll starts beside it much sooner.
 constexpr Millis kConnectTimeout = 1500;
 // Time-out from the first byte of a response to its last. Another poll starts beside it much sooner.
@@ -87,6 +87,7 @@
   return {.watchTimeout = 2000,
           .sparingWatchTimeout = 2000,
           .silenceTimeout = std::nullopt,
+          .responseGrace = 500,
           .maxUnwatchedStall = std::nullopt,
           .minRetryDelay = 50,
           .maxRetryDelay = 1000,
@@ -104,9 +105,11 @@
   const Millis unpolled = discovery_timing::maxUnpolled(drainGrace);
   const Millis maxDelay = unpolled / (1 + discovery_timing::kDelaySpread);
   const Millis silenceTimeout = unpolled * discovery_timing::kSilenceShare;
-  return {.watchTimeout = std::min(shared.watchTimeout, unpolled - silenceTimeout),
+  const Millis watchTimeout = std::min(shared.watchTimeout, unpolled - silenceTimeout);
+  return {.watchTimeout = watchTimeout,
           .sparingWatchTimeout = shared.sparingWatchTimeout,
           .silenceTimeout = silenceTimeout,
+          .responseGrace = shared.watchTimeout + shared.responseGrace - watchTimeout,
           .maxUnwatchedStall = unpolled,
           .minRetryDelay = std::min(shared.minRetryDelay, maxDelay),
           .maxRetryDelay = std::min(shared.maxRetryDelay, maxDelay),
@@ -130,7 +133,7 @@
 //   beside it, or the longest delay; a rejection, and from there the same steps.
 constexpr bool isWithinNotificationDelay(const PollTiming& timing) {
   const Millis fromRejection = longestDelay(timing.rejectionDelay) + kAnswerAllowance + kTurnsAllowance;
-  const Millis fromWatch = timing.watchTimeout + kResponseGrace + longestDelay(timing.minRetryDelay);
+  const Millis fromWatch = timing.watchTimeout + timing.responseGrace + longestDelay(timing.minRetryDelay);
   const Millis fromStall = timing.maxStallTimeout + longestDelay(timing.maxRetryDelay);
   return std::max(fromWatch, fromStall) + fromRejection <= kMaxNotificationDelay;
 }
@@ -141,7 +144,7 @@
 constexpr bool isWithinDrainGrace(const PollTiming& timing, Millis drainGrace) {
   const Millis readWithin = drainBudget(drainGrace).readWithin;
   const Millis longestPause = longestDelay(std::max(timing.maxRetryDelay, timing.rejectionDelay));
-  const Millis longestSilence = timing.watchTimeout + timing.silenceTimeout.value_or(kResponseGrace);
+  const Millis longestSilence = timing.watchTimeout + timing.silenceTimeout.value_or(timing.responseGrace);
   return std::max({longestPause, longestSilence, timing.maxStallTimeout}) <= readWithin;
 }
 static_assert(isWithinDrainGrace(localAgentTiming(200), 200));
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -90,6 +90,22 @@
   ::close(late);
 }
 
+// Changes must arrive within 6 s, however slow discovery is: a poll that is always given up too early reads
+// none.
+TEST(DiscoveryReturn, ADiscoveryThatAnswersEveryPollTwoSecondsLateIsReadAllTheSame) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  int late = std::exchange(harness.connection, -1);
+  Millis askedAt = harness.loop.now();
+  while (harness.loop.now() - askedAt < 2000) harness.nextPoll(10);
+  sendBytes(late, listResponse(1));
+  EXPECT_TRUE(eventually(100, [&] {
+    harness.turn();
+    return harness.isReady("s-1");
+  }));
+  ::close(late);
+}
+
 // Each of them would be answered with the whole list by an agent that is only slow.
 TEST(DiscoveryReturn, AFullListIsNotAskedForMoreOftenThanChangesWhileNoneIsAnswered) {
   DiscoveryHarness harness(8, DiscoveryKind::localAgent);
