--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -70,7 +70,7 @@
   request_.extent = ListExtent::full;  // versions of two servers cannot be compared
   versions_.reset();
   retrySchedule_.reset();
-  rejectedAt_.reset();
+  rejections_.reset();
   stallTimeout_ = timing_.minStallTimeout;
   unreadChange_.recordAddressChanged();
   nextPollAt_ = loop_.now();
@@ -168,8 +168,7 @@
 }
 
 Millis DiscoveryClient::watchTimeout() const {
-  bool isSparing = rejectedAt_ && loop_.now() < *rejectedAt_ + kRejectionMemory;
-  return isSparing ? timing_.sparingWatchTimeout : timing_.watchTimeout;
+  return rejections_.isRecent(loop_.now()) ? timing_.sparingWatchTimeout : timing_.watchTimeout;
 }
 
 // A poll that was silent before the change began says nothing of it.
@@ -198,7 +197,7 @@
   const HttpClientConnection& connection = poll.connection();
   if (connection.status() == kStatusServiceUnavailable) {  // discovery is overloaded; the version stays valid
     recordUnreachable();
-    rejectedAt_ = loop_.now();
+    rejections_.recordRejected(loop_.now());
     retryAfter(poll, rejectionDelay());
     log::info("discovery.rejected", {{"after_ms", nextPollAt_ - loop_.now()}, {"kept", directory_.count()}});
     return endPoll(poll, PollEnd::rejected);
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -12,6 +12,7 @@
 #include "discovery/endpoint_directory.h"
 #include "discovery/list_version_guard.h"
 #include "discovery/poll_timing.h"
+#include "discovery/rejection_memory.h"
 #include "discovery/retry_schedule.h"
 #include "discovery/unread_change.h"
 #include "policy/dispatch_policy.h"
@@ -112,13 +113,13 @@
   RetrySchedule retrySchedule_;
   UnreadChange unreadChange_;
   ListVersionGuard versions_;
+  RejectionMemory rejections_;
 
   std::vector<std::unique_ptr<DiscoveryPoll>> polls_;  // pending, the oldest first
   std::uint64_t pollCount_{0};
-  Millis answeredAt_;                 // when a list was last applied
-  Millis nextPollAt_{0};              // the earliest time for the next poll
-  Millis stallTimeout_;               // of the newest poll
-  std::optional<Millis> rejectedAt_;  // the last time
+  Millis answeredAt_;     // when a list was last applied
+  Millis nextPollAt_{0};  // the earliest time for the next poll
+  Millis stallTimeout_;   // of the newest poll
   // What the next poll asks for. The version is that of the list that was accepted last.
   PollRequest request_;
   bool areAttemptsPaused_{false};    // as logged last
--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -15,7 +15,7 @@
 struct PollTiming {
   // Discovery holds a watch open for this long before it answers that nothing has changed.
   Millis watchTimeout{};
-  // The same for kRejectionMemory after a rejection: whoever answers has too many clients.
+  // The same while a rejection is remembered (RejectionMemory): whoever answers has too many clients.
   Millis sparingWatchTimeout{};
   // A poll that is unanswered this long after discovery had to answer it gets another one beside it. Without
   // a value, it is waited for.
@@ -49,8 +49,6 @@
 // failed before.
 constexpr Millis kMaxNotificationDelay = 6000;
 
-// How long after a rejection polls are made rarer.
-constexpr Millis kRejectionMemory = 4000;
 // Time-out of a connection that is not established. Another poll starts beside it much sooner.
 constexpr Millis kConnectTimeout = 1500;
 // Time-out from the first byte of a response to its last. Another poll starts beside it much sooner.
