--- a/src/lab/http_server.cpp
+++ b/src/lab/http_server.cpp
@@ -190,28 +190,41 @@
 }
 
 HttpServer::~HttpServer() {
-  stop();
+  if (fd_ >= 0) {
+    loop_.unwatch(fd_);
+    ::close(fd_);
+  }
   for (int fd : backlogFillers_) ::close(fd);
 }
 
 std::string HttpServer::address() const { return host_ + ":" + std::to_string(port_); }
 
 void HttpServer::listen(int backlog) {
-  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  int on = 1;
-  ::setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  sockaddr_in bound = socketAddress(host_, port_);
-  if (fd_ < 0 || ::bind(fd_, reinterpret_cast<sockaddr*>(&bound), sizeof bound) != 0 ||
-      ::listen(fd_, backlog) != 0 || !loop_.watch(fd_, *this)) {
+  UniqueFd listener = boundSocket();
+  if (::listen(listener.get(), backlog) != 0 || !loop_.watch(listener.get(), *this))
     throw std::system_error(errno, std::generic_category(), "cannot listen at " + address());
-  }
+  sockaddr_in bound{};
   socklen_t size = sizeof bound;
-  ::getsockname(fd_, reinterpret_cast<sockaddr*>(&bound), &size);
+  ::getsockname(listener.get(), reinterpret_cast<sockaddr*>(&bound), &size);
   port_ = ntohs(bound.sin_port);
+  fd_ = listener.release();
+  portHolder_.reset();
+}
+
+UniqueFd HttpServer::boundSocket() const {
+  UniqueFd socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  int on = 1;
+  ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);  // beside portHolder_
+  sockaddr_in wanted = socketAddress(host_, port_);
+  if (!socket || ::bind(socket.get(), reinterpret_cast<sockaddr*>(&wanted), sizeof wanted) != 0)
+    throw std::system_error(errno, std::generic_category(), "cannot bind " + address());
+  return socket;
 }
 
 void HttpServer::stop() {
   if (fd_ < 0) return;
+  portHolder_ = boundSocket();
   loop_.unwatch(fd_);
   ::close(std::exchange(fd_, -1));
 }
--- a/src/lab/http_server.h
+++ b/src/lab/http_server.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/unique_fd.h"
 #include "lab/timer_queue.h"
 #include "lab/wire_faults.h"
 #include "net/event_loop.h"
@@ -110,6 +111,8 @@
   friend class HttpServerConnection;
   void listen(int backlog);
   void stop();
+  // A socket bound to the server's address. Throws std::system_error.
+  UniqueFd boundSocket() const;
   void removeConnection(HttpServerConnection& connection);
 
   EventLoop& loop_;
@@ -119,6 +122,7 @@
   WireLocation location_;
   std::uint16_t port_{0};
   int fd_{-1};
+  UniqueFd portHolder_;  // bound, so that no other program takes the port while the server does not listen
   bool refusing_{false};
   bool unreachable_{false};
   bool acceptPaused_{false};
