Delivery: a confirmation that arrived during a long turn is read before it counts as missing

A repeated notification does no harm, but costs a connection and a request. Cause: the notifier concluded silence from the time alone, while the 204 lay unread in the socket; requests to endpoints are read before they time out, notifications were not. Test: OutcomeNotifier.AConfirmationThatArrivedDuringALongTurnIsReadBeforeItCountsAsMissing failed before.

--- a/src/delivery/outcome_notifier.cpp
+++ b/src/delivery/outcome_notifier.cpp
@@ -48,7 +48,9 @@
 }
 
 void OutcomeNotifier::onTick() {
-  if (isAwaitingResponse() && loop_.now() >= sentAt_ + kResponseTimeoutMs) onBroken(*connection_);
+  bool isResponseOverdue = isAwaitingResponse() && loop_.now() >= sentAt_ + kResponseTimeoutMs;
+  if (isResponseOverdue) connection_->readPending();  // after a long turn it may have arrived
+  if (isResponseOverdue && isAwaitingResponse()) onBroken(*connection_);
   if (!isAwaitingResponse() && !idle() && loop_.now() >= notBefore_) send();
 }
 
--- a/tests/delivery/outcome_notifier_test.cpp
+++ b/tests/delivery/outcome_notifier_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <poll.h>
 
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "support/attempt_sender_harness.h"
 #include "support/dispatcher_settings.h"
@@ -59,6 +61,22 @@
   ::close(first);
 }
 
+// A confirmation that arrived while a journal write took long was taken for silence, and the notification was
+// sent twice.
+TEST(OutcomeNotifier, AConfirmationThatArrivedDuringALongTurnIsReadBeforeItCountsAsMissing) {
+  NotifierHarness harness;
+  harness.fail("one");
+  int connection = harness.acceptConnection();
+  ASSERT_GE(connection, 0);
+  harness.notifyUntil([] { return false; }, 20);
+  sendBytes(connection, kHttpNoContent);
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  ASSERT_TRUE(harness.loop.refreshTime(100));  // as at the end of a turn
+  harness.notifier.onTick();
+  EXPECT_TRUE(harness.notifier.idle());
+  ::close(connection);
+}
+
 // Many notifications one after the other share requests.
 TEST(OutcomeNotifier, SpacesItsConnections) {
   NotifierHarness harness;
