--- a/tests/server/client_connections_test.cpp
+++ b/tests/server/client_connections_test.cpp
@@ -107,7 +107,8 @@
                                    submitCommand("big2", kFields, std::string(65000, 'x')),
                                2),
             "+OK\r\n-BUSY\r\n");
-  EXPECT_TRUE(eventually(3000, [&] { return platform.requestsContaining("\"big\"") == 1; }));
+  EXPECT_TRUE(eventually(3000, [&] { return platform.requestsContaining("\"big\"") == 1; }))
+      << platform.requestsContaining("\"big\"") << " notifications";
   EXPECT_EQ(platform.requestsContaining("\"left\""), 0u);
   EXPECT_EQ(dispatcher.request(submitCommand("big3", kFields, std::string(65000, 'x'))), "+OK\r\n");
 }
