Discovery: turns that are all long do not stop the deliveries

Cause: took the list for out of date from the beginning of each stall over 0.25 s whose watch had ended in it. But the answer to a watch without a change says that there was none until its time-out, so that the list is old for the rest alone. Change: what counts is the time since the last answer can have been true. After a stall that may have hidden a change, watches last 2 s for 4 s, so that they outlive the next ones. Tests: DiscoveryReturn.AttemptsGoOnWhileEveryTurnIsLongAndEachWatchEndsInIt and WatchesOutliveFurtherStallsAfterOneThatHidChanges failed before; 18 tests of DiscoveryReturn pass.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -95,9 +95,12 @@
 
 void DiscoveryClient::readAfterStall(Millis stall) {
   readPending();
-  if (!timing_.maxUnwatchedStall || stall <= *timing_.maxUnwatchedStall || isWatching()) return;
+  if (!timing_.maxUnwatchedAge || isWatching()) return;
+  Millis unwatchedSince = std::max(loop_.now() - stall, upToDateUntil_);
+  if (loop_.now() - unwatchedSince <= *timing_.maxUnwatchedAge) return;
+  stalledAt_ = loop_.now();
   if (!unreadChange_.recordBegun(loop_.now(), UnreadChange::Evidence::possible)) return;
-  policy_.recordUnreadListChange(loop_.now() - stall);
+  policy_.recordUnreadListChange(unwatchedSince);
   log_.changePossible(stall);
 }
 
@@ -168,7 +171,8 @@
 }
 
 Millis DiscoveryClient::watchTimeout() const {
-  return rejections_.isRecent(loop_.now()) ? timing_.sparingWatchTimeout : timing_.watchTimeout;
+  bool hasStalled = stalledAt_ && loop_.now() < *stalledAt_ + kStallMemory;
+  return rejections_.isRecent(loop_.now()) || hasStalled ? timing_.longWatchTimeout : timing_.watchTimeout;
 }
 
 // A poll that was silent before the change began says nothing of it.
@@ -236,6 +240,7 @@
     return PollEnd::applied;
   }
   hasAcceptedResponse_ = true;
+  upToDateUntil_ = std::min(loop_.now(), poll.upToDateUntil(list));
   retrySchedule_.reset();
   recordChangeRead(poll);
   nextPollAt_ = loop_.now();  // polling again at once continues the watch
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -45,7 +45,7 @@
   // Starts a poll that is due, or ends a poll that has timed out.
   void onTick();
   // Applies what discovery has sent while this process was held up for `stall`, before it acts on older
-  // decisions. If no poll was open at the end of the stall, a change may be unread since its beginning.
+  // decisions. If no poll was open at the end of the stall, a change may be unread.
   void readAfterStall(Millis stall);
   // The time (steady clock) from which onTick() has something to do.
   Millis due() const;
@@ -117,9 +117,11 @@
 
   std::vector<std::unique_ptr<DiscoveryPoll>> polls_;  // pending, the oldest first
   std::uint64_t pollCount_{0};
-  Millis answeredAt_;     // when a list was last applied
-  Millis nextPollAt_{0};  // the earliest time for the next poll
-  Millis stallTimeout_;   // of the newest poll
+  Millis answeredAt_;                // when a list was last applied
+  Millis upToDateUntil_{0};          // what discovery had at that time has been applied
+  std::optional<Millis> stalledAt_;  // the last time that a stall may have hidden a change
+  Millis nextPollAt_{0};             // the earliest time for the next poll
+  Millis stallTimeout_;              // of the newest poll
   // What the next poll asks for. The version is that of the list that was accepted last.
   PollRequest request_;
   bool areAttemptsPaused_{false};    // as logged last
--- a/src/discovery/discovery_poll.cpp
+++ b/src/discovery/discovery_poll.cpp
@@ -91,6 +91,10 @@
   return responseBegunAt() >= connectedAt_ + request_.watchTimeout * (1 - kTimerTolerance);
 }
 
+Millis DiscoveryPoll::upToDateUntil(const EndpointList& answer) const {
+  return answer.entries.empty() ? connectedAt_ + watchTimeout() * (1 - kTimerTolerance) : connectedAt_;
+}
+
 bool DiscoveryPoll::mayStartExchange(HttpClientConnection&) {
   connectedAt_ = loop_.now();
   return true;
--- a/src/discovery/discovery_poll.h
+++ b/src/discovery/discovery_poll.h
@@ -64,6 +64,9 @@
   Millis responseBegunAt() const { return responseStartedAt_.value_or(loop_.now()); }
   // Whether the response began so late that discovery may have had nothing new to tell.
   bool isAnsweredAtWatchTimeout() const;
+  // The answer holds what discovery had at this time: it answers a watch at once if there is a change, and
+  // otherwise at its time-out.
+  Millis upToDateUntil(const EndpointList& answer) const;
   // Valid until the poll is destroyed.
   const HttpClientConnection& connection() const { return *connection_; }
 
--- a/src/discovery/poll_timing.h
+++ b/src/discovery/poll_timing.h
@@ -15,16 +15,17 @@
 struct PollTiming {
   // Discovery holds a watch open for this long before it answers that nothing has changed.
   Millis watchTimeout{};
-  // The same while a rejection is remembered (RejectionMemory): whoever answers has too many clients.
-  Millis sparingWatchTimeout{};
+  // The same while a rejection is remembered (RejectionMemory), since whoever answers has too many clients
+  // then, and for kStallMemory after a stall of this process that no poll outlived.
+  Millis longWatchTimeout{};
   // A poll that is unanswered this long after discovery had to answer it gets another one beside it. Without
   // a value, it is waited for.
   std::optional<Millis> silenceTimeout;
   // A poll that is unanswered this long after discovery had to answer it counts as failed.
   Millis responseGrace{};
-  // A longer stall of this process may have hidden a change, if no poll was open at its end. Without a value,
-  // what could not be read counts as not notified.
-  std::optional<Millis> maxUnwatchedStall;
+  // After a stall of this process, the list may be this old if no poll is open; if it is older, a change may
+  // be unread. Without a value, what could not be read counts as not notified.
+  std::optional<Millis> maxUnwatchedAge;
   // The delay after a failure, doubled after each further one.
   Millis minRetryDelay{};
   Millis maxRetryDelay{};
@@ -49,6 +50,8 @@
 // failed before.
 constexpr Millis kMaxNotificationDelay = 6000;
 
+// How long watches are long after a stall, so that they outlive the next one.
+constexpr Millis kStallMemory = 4000;
 // Time-out of a connection that is not established. Another poll starts beside it much sooner.
 constexpr Millis kConnectTimeout = 1500;
 // Time-out from the first byte of a response to its last. Another poll starts beside it much sooner.
@@ -83,10 +86,10 @@
 constexpr PollTiming sharedServerTiming(Millis drainGrace) {
   const DrainBudget budget = drainBudget(drainGrace);
   return {.watchTimeout = 2000,
-          .sparingWatchTimeout = 2000,
+          .longWatchTimeout = 2000,
           .silenceTimeout = std::nullopt,
           .responseGrace = 500,
-          .maxUnwatchedStall = std::nullopt,
+          .maxUnwatchedAge = std::nullopt,
           .minRetryDelay = 50,
           .maxRetryDelay = 1000,
           .rejectionDelay = 1800,
@@ -105,10 +108,10 @@
   const Millis silenceTimeout = unpolled * discovery_timing::kSilenceShare;
   const Millis watchTimeout = std::min(shared.watchTimeout, unpolled - silenceTimeout);
   return {.watchTimeout = watchTimeout,
-          .sparingWatchTimeout = shared.sparingWatchTimeout,
+          .longWatchTimeout = shared.longWatchTimeout,
           .silenceTimeout = silenceTimeout,
           .responseGrace = shared.watchTimeout + shared.responseGrace - watchTimeout,
-          .maxUnwatchedStall = unpolled,
+          .maxUnwatchedAge = unpolled,
           .minRetryDelay = std::min(shared.minRetryDelay, maxDelay),
           .maxRetryDelay = std::min(shared.maxRetryDelay, maxDelay),
           .rejectionDelay = std::min(shared.rejectionDelay, maxDelay),
--- a/tests/discovery/discovery_return_test.cpp
+++ b/tests/discovery/discovery_return_test.cpp
@@ -221,6 +221,35 @@
   EXPECT_TRUE(harness.policy.mayBeginAttempts());
 }
 
+// A journal whose every write is slow must not stop the deliveries: the list is old only for the end of each
+// stall.
+TEST(DiscoveryReturn, AttemptsGoOnWhileEveryTurnIsLongAndEachWatchEndsInIt) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  for (int turn = 0; turn < 6; ++turn) {
+    ASSERT_NE(harness.nextPoll(500).requestLine, "");
+    harness.respond(httpResponse(200, R"({"version":1,"full":false,"servers":[]})"));
+    harness.turnAfterStall(300);
+    EXPECT_TRUE(harness.policy.mayBeginAttempts()) << turn;
+  }
+}
+
+TEST(DiscoveryReturn, WatchesOutliveFurtherStallsAfterOneThatHidChanges) {
+  DiscoveryHarness harness(8, DiscoveryKind::localAgent);
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.respond(httpResponse(200, R"({"version":1,"full":false,"servers":[]})"));
+  harness.turnAfterStall(800);
+  EXPECT_FALSE(harness.policy.mayBeginAttempts());
+  EXPECT_NE(harness.nextPoll(500).requestLine.find("timeout_ms=2000"), std::string::npos);
+  harness.respond(listResponse(1));
+  ASSERT_NE(harness.nextPoll(500).requestLine, "");
+  harness.turnAfterStall(800);
+  EXPECT_TRUE(harness.policy.mayBeginAttempts());
+}
+
 TEST(DiscoveryReturn, AttemptsGoOnSoonAfterAStallWhileDiscoveryIsSilentOrHasNoNews) {
   DiscoveryHarness harness(8, DiscoveryKind::localAgent);
   ASSERT_NE(harness.nextPoll(500).requestLine, "");
