--- a/src/lab/endpoint_model.cpp
+++ b/src/lab/endpoint_model.cpp
@@ -13,7 +13,6 @@
 constexpr double kAdditionalMessageWeight = 0.25;  // of each further message of a batch, in requests
 // Requests above the overload budget that cause no overload, since random arrivals exceed the mean by chance.
 constexpr double kOverloadAllowance = 2;
-constexpr Millis kRejectionRetryAfter = 500;          // in the response to a request under a rejectAll fault
 constexpr std::size_t kMaxFirstExecutions = 1 << 20;  // beyond this, entries older than 1e6 ms are erased
 
 }  // namespace
@@ -103,6 +102,7 @@
         break;
       case FaultKind::rejectAll:
         ++c.rejecting;
+        c.rejectionRetryAfter = std::max(c.rejectionRetryAfter, fault.retryAfter);
         break;
       case FaultKind::pause:
         ++c.paused;
@@ -294,7 +294,7 @@
   if (!withinCapacity || now < d.overloadedUntil || now < zoneAt(id).overloadedUntil)
     return EndpointResponse{request, id, ResponseKind::unavailable, 0, false};
   if (e.condition.rejecting > 0)
-    return EndpointResponse{request, id, ResponseKind::unavailable, kRejectionRetryAfter, false};
+    return EndpointResponse{request, id, ResponseKind::unavailable, e.condition.rejectionRetryAfter, false};
   if (experiment_.environment.rateLimitPerSecond > 0) {
     auto windowIndex = static_cast<std::int64_t>(now / experiment_.environment.rateLimitWindow);
     if (windowIndex != d.rateLimitWindow) d.requestsInWindow = 0;
--- a/src/lab/endpoint_model.h
+++ b/src/lab/endpoint_model.h
@@ -87,6 +87,7 @@
     int unreachable{0};
     int unresponsive{0};
     int rejecting{0};
+    Millis rejectionRetryAfter{0};  // in the response to a request while `rejecting` is above 0
     int paused{0};
     double slowdown{1};
     double errorShare{0};
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -401,6 +401,7 @@
   in.wholeNumbers("dispatchers", fault.dispatchers, experiment.fleet.dispatchers);
   in.number("share", fault.share, 0, 1);
   in.number("factor", fault.factor, 0, 1e6);
+  in.number("wait_ms", fault.retryAfter, 0, 1e6);
   static constexpr std::pair<const char*, ResponseSource> kSources[] = {
       {"endpoints", ResponseSource::endpoint},
       {"discovery", ResponseSource::discovery},
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -92,7 +92,7 @@
   noResponse,             // requests execute and get no response
   slow,                   // requests execute `factor` times as long
   errors,                 // a share `factor` of the requests gets a 500 at once
-  rejectAll,              // every request gets a 503 with a Retry-After
+  rejectAll,              // every request gets a 503 with the fault's Retry-After
   lostResponse,           // a share `factor` of the requests executes and gets no response
   connectionReset,        // a share `factor` executes, then the connection is reset without a response
   malformedResponse,      // a share `factor` executes and gets a response that is not valid HTTP
@@ -152,6 +152,7 @@
   std::vector<int> dispatchers{};   // for a fault of dispatchers; empty: the first dispatcher
   double share{1};                  // the first of the named endpoints, up to this share, are affected
   double factor{1};                 // as the kind says
+  Millis retryAfter{500};           // for rejectAll: the Retry-After in each response; 0: none
   // For the faults of responses.
   ResponseSource source{ResponseSource::endpoint};
   Millis delayFrom{0};  // the delay is drawn between the two
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -25,15 +25,24 @@
           {"p99_ms", quantiles.p99},  {"p999_ms", quantiles.p999}, {"most_ms", quantiles.max}};
 }
 
+json jsonOf(const RefusalSummary& refusals) {
+  return {{"count", refusals.count},
+          {"in_first_quarter", refusals.inFirstQuarter},
+          {"with_retry_after", refusals.withRetryAfter},
+          {"median_time_share", refusals.medianTimeShare}};
+}
+
 json jsonOf(const RunSummary& summary) {
   return {{"gain_share", summary.deliveredWeightShare()},
           {"due", summary.due},
+          {"resubmissions", summary.resubmissions},
           {"completed", summary.completed},
           {"in_promised_time", summary.withinObjective},
           {"busy", summary.rejected},
           {"unanswered", summary.unanswered},
           {"shed", summary.shed},
           {"given_up", summary.failed},
+          {"refusals", jsonOf(summary.refusals)},
           {"launches", summary.attempts},
           {"second_launches", summary.repeatedAttempts},
           {"probes", summary.healthChecks},
@@ -278,7 +287,8 @@
   }
   out << "</p>\n<table><tr><th></th><th>weight share</th><th>completed</th><th>in "
          "objective</th><th>rejected</th><th>shed</th>"
-      << "<th>failed</th><th>attempts/msg</th><th>p50 ms</th><th>p99 ms</th><th>violations</th></tr>\n";
+      << "<th>failed</th><th>refused at</th><th>attempts/msg</th><th>p50 ms</th><th>p99 "
+         "ms</th><th>violations</th></tr>\n";
   std::vector<SummaryRow> rows{{report.mode, report.summary, report.violations.size()}};
   rows.insert(rows.end(), report.comparisons.begin(), report.comparisons.end());
   for (const SummaryRow& row : rows) {
@@ -288,6 +298,7 @@
         << "</td><td>" << fixed(static_cast<double>(summary.completed) / due, 4) << "</td><td>"
         << fixed(static_cast<double>(summary.withinObjective) / due, 4) << "</td><td>" << summary.rejected
         << "</td><td>" << summary.shed << "</td><td>" << summary.failed << "</td><td>"
+        << fixed(summary.refusals.medianTimeShare, 2) << "</td><td>"
         << fixed(static_cast<double>(summary.attempts) / due, 3) << "</td><td>"
         << fixed(summary.deliveryLatency.p50, 1) << "</td><td>" << fixed(summary.deliveryLatency.p99, 1)
         << "</td><td>" << row.violations << "</td></tr>\n";
@@ -450,19 +461,20 @@
 std::string tableOf(const std::vector<SummaryRow>& rows) {
   std::string text =
       "                         weight share  completed  in objective  rejected    shed  failed  "
-      "attempts/msg  "
+      "refused at  attempts/msg  "
       "p50 ms  p99 ms  violations\n";
   for (const SummaryRow& row : rows) {
     const RunSummary& summary = row.summary;
     double due = std::max<double>(1, static_cast<double>(summary.due));
     char line[240];
     std::snprintf(
-        line, sizeof line, "%-24s %12.4f  %9.4f  %12.4f  %8llu  %6llu  %6llu  %12.3f  %6.1f  %6.1f  %10zu\n",
+        line, sizeof line,
+        "%-24s %12.4f  %9.4f  %12.4f  %8llu  %6llu  %6llu  %10.2f  %12.3f  %6.1f  %6.1f  %10zu\n",
         row.name.c_str(), summary.deliveredWeightShare(), static_cast<double>(summary.completed) / due,
         static_cast<double>(summary.withinObjective) / due, static_cast<unsigned long long>(summary.rejected),
         static_cast<unsigned long long>(summary.shed), static_cast<unsigned long long>(summary.failed),
-        static_cast<double>(summary.attempts) / due, summary.deliveryLatency.p50, summary.deliveryLatency.p99,
-        row.violations);
+        summary.refusals.medianTimeShare, static_cast<double>(summary.attempts) / due,
+        summary.deliveryLatency.p50, summary.deliveryLatency.p99, row.violations);
     text += line;
   }
   return text;
--- a/src/lab/run_summary.cpp
+++ b/src/lab/run_summary.cpp
@@ -49,6 +49,55 @@
   Millis max_{0};
 };
 
+constexpr Millis kNever = 1e300;
+
+// Collects the notifications of messages that were shed or failed.
+class Refusals {
+ public:
+  explicit Refusals(std::size_t messageCount) : submissions_(messageCount) {}
+
+  void recordSubmission(const TraceEvent& submitted) {
+    submissions_[submitted.message] = {submitted.at, submitted.duration};
+  }
+  // The first notification of a message counts.
+  void recordNotification(const TraceEvent& notified) {
+    Submission& submission = submissions_[notified.message];
+    if (submission.notifiedAt < kNever) return;
+    submission.notifiedAt = notified.at;
+    submission.retryAfter = notified.duration;
+  }
+  // deliveredAt: by the number of the first submission of a message.
+  RefusalSummary summarize(const std::vector<SubmittedMessage>& messages,
+                           const std::vector<Millis>& deliveredAt) const {
+    RefusalSummary summary;
+    std::vector<double> timeShares;
+    for (std::size_t n = 0; n < submissions_.size(); ++n) {
+      const Submission& submission = submissions_[n];
+      bool isDelivered = deliveredAt[messages[n].origin] < kNever;
+      if (submission.notifiedAt >= kNever || submission.timeLeft <= 0 || isDelivered) continue;
+      timeShares.push_back((submission.notifiedAt - submission.at) / submission.timeLeft);
+      if (timeShares.back() <= kFirstQuarter) ++summary.inFirstQuarter;
+      if (submission.retryAfter > 0) ++summary.withRetryAfter;
+    }
+    summary.count = timeShares.size();
+    if (timeShares.empty()) return summary;
+    auto middle = timeShares.begin() + static_cast<std::ptrdiff_t>(timeShares.size() / 2);
+    std::nth_element(timeShares.begin(), middle, timeShares.end());
+    summary.medianTimeShare = *middle;
+    return summary;
+  }
+
+ private:
+  static constexpr double kFirstQuarter = 0.25;
+  struct Submission {
+    Millis at{0};
+    Millis timeLeft{0};
+    Millis notifiedAt{kNever};
+    Millis retryAfter{0};
+  };
+  std::vector<Submission> submissions_;
+};
+
 }  // namespace
 
 RunSummary summarize(const Experiment& experiment, const Trace& trace, Millis slice) {
@@ -60,18 +109,19 @@
     auto n = static_cast<std::size_t>(std::clamp(at / slice, 0.0, static_cast<double>(slices - 1)));
     return summary.series[n];
   };
-  constexpr Millis kNever = 1e300;
   std::size_t messageCount = trace.messages.size();
   std::vector<Millis> delivered(messageCount, kNever);  // by origin: when it was first delivered
   std::vector<Millis> submittedAt(messageCount, kNever);
   std::vector<bool> attempted(messageCount, false);
   std::vector<bool> accepted(messageCount, false);
+  Refusals refusals(messageCount);
   DurationHistogram responseLatency;
   for (const TraceEvent& e : trace.events) {
     bool hasMessage = e.message < messageCount;
     switch (e.type) {
       case TraceEventType::submitted:
         if (hasMessage) submittedAt[e.message] = e.at;
+        if (hasMessage) refusals.recordSubmission(e);
         break;
       case TraceEventType::accepted:
       case TraceEventType::rejected:
@@ -100,18 +150,23 @@
       case TraceEventType::notificationReceived:
         ++(e.status == 2 ? summary.shed : summary.failed);
         ++sliceOf(e.at).ended;
+        if (hasMessage) refusals.recordNotification(e);
         break;
       default:
         break;
     }
   }
   summary.responseLatency = responseLatency.quantiles();
+  summary.refusals = refusals.summarize(trace.messages, delivered);
   DurationHistogram deliveryLatency;
   std::vector<DurationHistogram> each(0);
   std::vector<std::vector<Millis>> latenciesBySlice(slices);
   for (std::uint32_t c = 0; c < messageCount; ++c) {
     const SubmittedMessage& message = trace.messages[c];
-    if (message.origin != c) continue;
+    if (message.origin != c) {
+      ++summary.resubmissions;
+      continue;
+    }
     const TrafficType& type = experiment.types[message.type].settings;
     ++summary.due;
     summary.dueWeight += type.priorityWeight;
--- a/src/lab/run_summary.h
+++ b/src/lab/run_summary.h
@@ -10,6 +10,15 @@
 // Counts and latencies of a run, computed from its trace.
 namespace stonewing::lab {
 
+// When clients were notified that an accepted message was shed or failed, and of what. A share of a message's
+// time is counted from its submission, and is 1 at its deadline. Messages that were delivered are left out.
+struct RefusalSummary {
+  std::uint64_t count{0};
+  std::uint64_t inFirstQuarter{0};  // notified within the first quarter of the message's time
+  std::uint64_t withRetryAfter{0};  // notified with a time to submit the message again
+  double medianTimeShare{0};        // of the message's time, until the notification
+};
+
 // Quantiles of durations, in milliseconds; all 0 where there are none.
 struct Quantiles {
   std::uint64_t count{0};
@@ -18,6 +27,7 @@
 
 struct RunSummary {
   std::uint64_t due{0};               // messages, each counted once however often it was submitted
+  std::uint64_t resubmissions{0};     // submissions of a message after its first one
   std::uint64_t completed{0};         // delivered within the deadline
   std::uint64_t withinObjective{0};   // delivered within the latency objective
   std::uint64_t rejected{0};          // commands answered -BUSY
@@ -31,6 +41,7 @@
   double dueWeight{0};                // priority weights of all messages that were due
   Quantiles deliveryLatency;          // from when a message was due until the endpoint wrote its response
   Quantiles responseLatency;          // from a client's command until the dispatcher's response reached it
+  RefusalSummary refusals;
   // A part of the run. due, completed, the weights and the quantiles of the delivery latency belong to the
   // messages that were due in it, the other counts to the events in it.
   struct Slice {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -306,6 +306,22 @@
   }
 }
 
+TEST(RunSummary, TellsWhenClientsWereNotifiedAndWithWhichAdvice) {
+  TraceBuilder builder(2, 4);  // submitted at 0, 10, 20 and 30 ms with 3 s left
+  builder.notify(300, 2, 0);
+  builder.trace.events.back().duration = 250;
+  builder.notify(1510, 2, 1);
+  builder.notify(3020, 1, 2);
+  builder.notify(3030, 1, 2);  // repeated
+  builder.respond(50, builder.arrive(40, 0, 3), 200, 0, 3);
+  builder.notify(60, 1, 3);  // delivered
+  RefusalSummary refusals = summarize(builder.experiment, builder.trace).refusals;
+  EXPECT_EQ(refusals.count, 3u);
+  EXPECT_EQ(refusals.inFirstQuarter, 1u);
+  EXPECT_EQ(refusals.withRetryAfter, 1u);
+  EXPECT_DOUBLE_EQ(refusals.medianTimeShare, 0.5);
+}
+
 TEST(Model, IsTheSameByteForByteFromTheSameSeedAndAnotherFromAnother) {
   Experiment experiment = experimentWith(
       "[[trouble]]\nkind=\"blackhole\"\nroom=\"b\"\nfrom_s=1\nuntil_s=3\n"
