--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -25,11 +25,11 @@
           {"p99_ms", quantiles.p99},  {"p999_ms", quantiles.p999}, {"most_ms", quantiles.max}};
 }
 
-json jsonOf(const RefusalSummary& refusals) {
-  return {{"count", refusals.count},
-          {"in_first_quarter", refusals.inFirstQuarter},
-          {"with_retry_after", refusals.withRetryAfter},
-          {"median_time_share", refusals.medianTimeShare}};
+json jsonOf(const NotificationSummary& notifications) {
+  return {{"count", notifications.count},
+          {"in_first_quarter", notifications.inFirstQuarter},
+          {"with_retry_after", notifications.withRetryAfter},
+          {"median_time_share", notifications.medianTimeShare}};
 }
 
 json jsonOf(const RunSummary& summary) {
@@ -42,7 +42,7 @@
           {"unanswered", summary.unanswered},
           {"shed", summary.shed},
           {"given_up", summary.failed},
-          {"refusals", jsonOf(summary.refusals)},
+          {"notifications", jsonOf(summary.notifications)},
           {"launches", summary.attempts},
           {"second_launches", summary.repeatedAttempts},
           {"probes", summary.healthChecks},
@@ -287,7 +287,7 @@
   }
   out << "</p>\n<table><tr><th></th><th>weight share</th><th>completed</th><th>in "
          "objective</th><th>rejected</th><th>shed</th>"
-      << "<th>failed</th><th>refused at</th><th>attempts/msg</th><th>p50 ms</th><th>p99 "
+      << "<th>failed</th><th>notified at</th><th>attempts/msg</th><th>p50 ms</th><th>p99 "
          "ms</th><th>violations</th></tr>\n";
   std::vector<SummaryRow> rows{{report.mode, report.summary, report.violations.size()}};
   rows.insert(rows.end(), report.comparisons.begin(), report.comparisons.end());
@@ -298,7 +298,7 @@
         << "</td><td>" << fixed(static_cast<double>(summary.completed) / due, 4) << "</td><td>"
         << fixed(static_cast<double>(summary.withinObjective) / due, 4) << "</td><td>" << summary.rejected
         << "</td><td>" << summary.shed << "</td><td>" << summary.failed << "</td><td>"
-        << fixed(summary.refusals.medianTimeShare, 2) << "</td><td>"
+        << fixed(summary.notifications.medianTimeShare, 2) << "</td><td>"
         << fixed(static_cast<double>(summary.attempts) / due, 3) << "</td><td>"
         << fixed(summary.deliveryLatency.p50, 1) << "</td><td>" << fixed(summary.deliveryLatency.p99, 1)
         << "</td><td>" << row.violations << "</td></tr>\n";
@@ -461,7 +461,7 @@
 std::string tableOf(const std::vector<SummaryRow>& rows) {
   std::string text =
       "                         weight share  completed  in objective  rejected    shed  failed  "
-      "refused at  attempts/msg  "
+      "notified at  attempts/msg  "
       "p50 ms  p99 ms  violations\n";
   for (const SummaryRow& row : rows) {
     const RunSummary& summary = row.summary;
@@ -473,7 +473,7 @@
         row.name.c_str(), summary.deliveredWeightShare(), static_cast<double>(summary.completed) / due,
         static_cast<double>(summary.withinObjective) / due, static_cast<unsigned long long>(summary.rejected),
         static_cast<unsigned long long>(summary.shed), static_cast<unsigned long long>(summary.failed),
-        summary.refusals.medianTimeShare, static_cast<double>(summary.attempts) / due,
+        summary.notifications.medianTimeShare, static_cast<double>(summary.attempts) / due,
         summary.deliveryLatency.p50, summary.deliveryLatency.p99, row.violations);
     text += line;
   }
--- a/src/lab/run_summary.cpp
+++ b/src/lab/run_summary.cpp
@@ -52,9 +52,9 @@
 constexpr Millis kNever = 1e300;
 
 // Collects the notifications of messages that were shed or failed.
-class Refusals {
+class UndeliveredNotifications {
  public:
-  explicit Refusals(std::size_t messageCount) : submissions_(messageCount) {}
+  explicit UndeliveredNotifications(std::size_t messageCount) : submissions_(messageCount) {}
 
   void recordSubmission(const TraceEvent& submitted) {
     submissions_[submitted.message] = {submitted.at, submitted.duration};
@@ -67,9 +67,9 @@
     submission.retryAfter = notified.duration;
   }
   // deliveredAt: by the number of the first submission of a message.
-  RefusalSummary summarize(const std::vector<SubmittedMessage>& messages,
-                           const std::vector<Millis>& deliveredAt) const {
-    RefusalSummary summary;
+  NotificationSummary summarize(const std::vector<SubmittedMessage>& messages,
+                                const std::vector<Millis>& deliveredAt) const {
+    NotificationSummary summary;
     std::vector<double> timeShares;
     for (std::size_t n = 0; n < submissions_.size(); ++n) {
       const Submission& submission = submissions_[n];
@@ -114,14 +114,14 @@
   std::vector<Millis> submittedAt(messageCount, kNever);
   std::vector<bool> attempted(messageCount, false);
   std::vector<bool> accepted(messageCount, false);
-  Refusals refusals(messageCount);
+  UndeliveredNotifications undelivered(messageCount);
   DurationHistogram responseLatency;
   for (const TraceEvent& e : trace.events) {
     bool hasMessage = e.message < messageCount;
     switch (e.type) {
       case TraceEventType::submitted:
         if (hasMessage) submittedAt[e.message] = e.at;
-        if (hasMessage) refusals.recordSubmission(e);
+        if (hasMessage) undelivered.recordSubmission(e);
         break;
       case TraceEventType::accepted:
       case TraceEventType::rejected:
@@ -150,14 +150,14 @@
       case TraceEventType::notificationReceived:
         ++(e.status == 2 ? summary.shed : summary.failed);
         ++sliceOf(e.at).ended;
-        if (hasMessage) refusals.recordNotification(e);
+        if (hasMessage) undelivered.recordNotification(e);
         break;
       default:
         break;
     }
   }
   summary.responseLatency = responseLatency.quantiles();
-  summary.refusals = refusals.summarize(trace.messages, delivered);
+  summary.notifications = undelivered.summarize(trace.messages, delivered);
   DurationHistogram deliveryLatency;
   std::vector<DurationHistogram> each(0);
   std::vector<std::vector<Millis>> latenciesBySlice(slices);
--- a/src/lab/run_summary.h
+++ b/src/lab/run_summary.h
@@ -12,7 +12,7 @@
 
 // When clients were notified that an accepted message was shed or failed, and of what. A share of a message's
 // time is counted from its submission, and is 1 at its deadline. Messages that were delivered are left out.
-struct RefusalSummary {
+struct NotificationSummary {
   std::uint64_t count{0};
   std::uint64_t inFirstQuarter{0};  // notified within the first quarter of the message's time
   std::uint64_t withRetryAfter{0};  // notified with a time to submit the message again
@@ -41,7 +41,7 @@
   double dueWeight{0};                // priority weights of all messages that were due
   Quantiles deliveryLatency;          // from when a message was due until the endpoint wrote its response
   Quantiles responseLatency;          // from a client's command until the dispatcher's response reached it
-  RefusalSummary refusals;
+  NotificationSummary notifications;
   // A part of the run. due, completed, the weights and the quantiles of the delivery latency belong to the
   // messages that were due in it, the other counts to the events in it.
   struct Slice {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -315,11 +315,11 @@
   builder.notify(3030, 1, 2);  // repeated
   builder.respond(50, builder.arrive(40, 0, 3), 200, 0, 3);
   builder.notify(60, 1, 3);  // delivered
-  RefusalSummary refusals = summarize(builder.experiment, builder.trace).refusals;
-  EXPECT_EQ(refusals.count, 3u);
-  EXPECT_EQ(refusals.inFirstQuarter, 1u);
-  EXPECT_EQ(refusals.withRetryAfter, 1u);
-  EXPECT_DOUBLE_EQ(refusals.medianTimeShare, 0.5);
+  NotificationSummary notifications = summarize(builder.experiment, builder.trace).notifications;
+  EXPECT_EQ(notifications.count, 3u);
+  EXPECT_EQ(notifications.inFirstQuarter, 1u);
+  EXPECT_EQ(notifications.withRetryAfter, 1u);
+  EXPECT_DOUBLE_EQ(notifications.medianTimeShare, 0.5);
 }
 
 TEST(Model, IsTheSameByteForByteFromTheSameSeedAndAnotherFromAnother) {
