Policy: constants of slow start and hedging state their client's or destination's reason

The budget of slow start leaves room for capacities that are estimated too high: too many requests overload the destination again, whoever sent them. A hedge within 0.3 of the objective brings a client nothing that it was not promised and takes a request from another message. No decision changes.

--- a/src/policy/hedging.cpp
+++ b/src/policy/hedging.cpp
@@ -7,8 +7,10 @@
 namespace {
 
 // Bounds of the delay of a hedge, as shares of the latency objective.
-constexpr double kMinDelayShare = 0.3;  // a hedge sent earlier is mostly wasted
-constexpr double kMaxDelayShare = 1.5;  // a hedge sent later comes too late to help
+// A response within the objective is all that the client was promised, so a hedge this early brings it
+// nothing and takes a request that another message may need.
+constexpr double kMinDelayShare = 0.3;
+constexpr double kMaxDelayShare = 1.5;  // the promise is broken; waiting for a longer p95 makes it only later
 // No hedges while this share of the concurrent requests, or more, is in flight.
 constexpr double kMaxRequestShare = 0.5;
 
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -15,7 +15,8 @@
 constexpr double kMaxRateLimitWindows = 1.4;
 // In overload windows: after a shorter time without a success no slow start is needed.
 constexpr double kShortOutageWindows = 2;
-// Of the overload threshold. Below two thirds, so that the requests under slow start alone overload no route.
+// Share of the overload threshold that all dispatchers together plan to use. The rest is for estimates of the
+// route's capacity that are too high, and for health checks and requests that meet by chance.
 constexpr double kOverloadBudgetShare = 0.55;
 constexpr double kMinSendsPerWindow = 1;        // per overload window, of all dispatchers together
 constexpr double kFurtherMessageWeight = 0.25;  // of each further message of a batch, in requests
