Load shedder: advice counts the waits of all dispatchers, not only this one's

Cause: opensAt() took this dispatcher's backoff, request interval and slow start for the state of the destination.

Change: a Retry-After counts in full, since every dispatcher that gets it keeps it; the other waits are divided by the number of dispatchers, as they are shares of one budget.

Evidence: LoadShedder.AdvisesInAnOutageToComeAfterTheNextHealthCheckOfAnyDispatcher.

--- a/src/policy/delivery_forecast.cpp
+++ b/src/policy/delivery_forecast.cpp
@@ -23,14 +23,19 @@
 
 Millis DeliveryForecast::opensAt(const Destination& destination) const {
   if (destination.ranking.empty()) return clock_.now();
-  auto opensAt = [](const Endpoint* endpoint) {
-    const Route& route = *endpoint->route;
-    Millis limitedUntil = route.recovery.isLimited() ? route.recovery.nextSendAt() : 0;
-    return std::max(RatePacer::closedUntil(route), limitedUntil);
-  };
-  Millis earliest = opensAt(destination.ranking.front());
-  for (const Endpoint* endpoint : destination.ranking) earliest = std::min(earliest, opensAt(endpoint));
-  return std::max(clock_.now(), earliest);
+  Millis earliest = opensAt(*destination.ranking.front()->route);
+  for (const Endpoint* endpoint : destination.ranking)
+    earliest = std::min(earliest, opensAt(*endpoint->route));
+  return earliest;
+}
+
+// A Retry-After is kept by every dispatcher that gets it. The other waits are this dispatcher's share of what
+// the route takes from all, and another dispatcher may find it open sooner.
+Millis DeliveryForecast::opensAt(const Route& route) const {
+  Millis limitedUntil = route.recovery.isLimited() ? route.recovery.nextSendAt() : 0;
+  Millis ownWait = std::max(RatePacer::closedUntil(route), limitedUntil) - clock_.now();
+  Millis anyWait = std::max(0.0, ownWait) / settings_.dispatcherCount;
+  return std::max(clock_.now() + anyWait, route.pacing.retryAfterUntil());
 }
 
 Millis DeliveryForecast::sentAt(const Route& route) const {
--- a/src/policy/delivery_forecast.h
+++ b/src/policy/delivery_forecast.h
@@ -3,6 +3,7 @@
 #include "policy/destination.h"
 #include "policy/round_clock.h"
 #include "policy/slow_start.h"
+#include "settings/deployment_settings.h"
 
 namespace stonewing {
 
@@ -24,19 +25,21 @@
 class DeliveryForecast {
  public:
   // The referenced objects must outlive the DeliveryForecast.
-  DeliveryForecast(const RoundClock& clock, const SlowStart& slowStart)
-      : clock_(clock), slowStart_(slowStart) {}
+  DeliveryForecast(const DeploymentSettings& settings, const RoundClock& clock, const SlowStart& slowStart)
+      : settings_(settings), clock_(clock), slowStart_(slowStart) {}
 
   // The earliest possible delivery over all routes of the destination. Without an endpoint it is now, since
   // one may be listed at any time.
   EarliestDelivery earliest(const Destination& destination) const;
-  // When the first route of the destination is expected to take a request: now, or the end of its waits. In
-  // an outage it is the next health check, even if one is pending.
+  // When the first route of the destination is expected to take a request of any dispatcher: now, or the end
+  // of its waits. In an outage it is the next health check, even if one is pending.
   Millis opensAt(const Destination& destination) const;
 
  private:
   Millis sentAt(const Route& route) const;
+  Millis opensAt(const Route& route) const;
 
+  const DeploymentSettings& settings_;
   const RoundClock& clock_;
   const SlowStart& slowStart_;
 };
--- a/src/policy/dispatch_policy.cpp
+++ b/src/policy/dispatch_policy.cpp
@@ -48,7 +48,7 @@
       messages_(clock_, zones_, ordering_),
       quota_(settings_, clock_),
       retryBudget_(settings_),
-      forecast_(clock_, slowStart_),
+      forecast_(settings_, clock_, slowStart_),
       shedder_(settings_, clock_, random_, forecast_, zones_, messages_),
       canceller_(settings_, clock_, latencies_, outliers_, requests_, messages_),
       selector_(settings_, clock_, requests_, limiter_, pacer_, slowStart_, outliers_, zones_),
