--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -295,6 +295,8 @@
     if (c.defects.overloadsInSlowStart) {
       experiment.environment.concurrency = 1;
       experiment.environment.slowStartInitialShare = 0.05;
+      experiment.environment.slowStartDuration =
+          20000;  // the share hardly grows before the first health check
       experiment.environment.overloadThreshold = 1;
     }
     auto clean = audit(experiment, runModel(experiment, 3, "ours"));
