--- a/tests/support/dispatcher_process.h
+++ b/tests/support/dispatcher_process.h
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -59,7 +60,10 @@
 
   // Starts the process without waiting until it answers.
   bool spawn() {
-    std::string arguments[] = {STONEWING_BINARY, "serve", "--log", "off", "--config", configPath_};
+    // To look into a failing test: the level at which its dispatchers log, to the test's standard error.
+    const char* logLevel = std::getenv("STONEWING_TEST_LOG");
+    std::string arguments[] = {STONEWING_BINARY, "serve",    "--log", logLevel ? logLevel : "off",
+                               "--config",       configPath_};
     std::vector<char*> argumentPointers;
     for (std::string& argument : arguments) argumentPointers.push_back(argument.data());
     argumentPointers.push_back(nullptr);
