Storage: an abandoned compaction gives its memory back

A string that is assigned an empty one, or {}, keeps its memory: libstdc++ copies a short text into the buffer that is there, and {} assigns an empty list.

--- a/src/storage/journal_compaction.cpp
+++ b/src/storage/journal_compaction.cpp
@@ -5,6 +5,8 @@
 
 #include <utility>
 
+#include "base/release_memory.h"
+
 namespace stonewing {
 
 JournalCompaction::JournalCompaction(std::string path) : path_(std::move(path)) { ::unlink(path_.c_str()); }
@@ -21,7 +23,7 @@
   file_.reset();
   ::unlink(path_.c_str());
   size_ = 0;
-  queued_ = {};
+  releaseMemory(queued_);
   installRequested_ = false;
 }
 
