Clients: what they take of a turn and of memory is bounded over all of them

Callers saw: beside 300 clients that pipeline PING, 118 to 140 of 160 to 179 requests of ordinary clients got no answer in 400 ms, and the process took 159 to 305 MB of 96; one client that pipelines put the others at p50 19 ms; four with lists of 14,000 fields had 240 of 780 ordinary messages refused.

Causes, one class: bounds for each client where the load is the sum over all, counted by length and not by what is allocated, and looked at once a turn. - A turn read 64 KiB of each client and executed all of it. TurnAllowance gives each client a small part of its own and all a shared rest. - Each reply was a string, a control block and a queue entry; replies of the turn were not counted. ReplyQueue keeps them in one text. - 'received_ = {}' kept the memory of a client's largest command for as long as it was connected. releaseMemory() gives it back. - The bound on incomplete commands looked after all clients had been read, at the oldest. It is now kept at each read, counts replies too, and ends the client that has held the most for longest; when memory is scarce every client may hold less. The end of a connection is looked for ahead of its unread input. What the log lacked: client.closed with a cause, client.counters.

--- a/src/dispatcher/command_handler.h
+++ b/src/dispatcher/command_handler.h
@@ -25,9 +25,6 @@
 // and passes it to the policy. The RESP server calls it for each command, on the event loop's thread.
 class CommandHandler {
  public:
-  // Whether the client has closed its sending side of the connection.
-  enum class ClientSide { open, closed };
-
   // The components that commands read and change. All must outlive the handler.
   struct Dependencies {
     const EventLoop& loop;
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -10,8 +10,8 @@
 namespace stonewing {
 namespace {
 
-// Incomplete commands of all clients may use a tenth of the process's memory.
-constexpr std::size_t kPartialCommandsMemoryDivisor = 10;
+// Commands and replies of all clients may use a tenth of the process's memory.
+constexpr std::size_t kClientMemoryDivisor = 10;
 // If at least this many clients wait for replies, the journal is written before the decisions of the turn, so
 // that the replies need not wait for these decisions. Otherwise the accepted messages and the attempts of the
 // turn share one write of the journal.
@@ -52,10 +52,9 @@
       turnMonitor_(loop_, store_),
       commandHandler_({loop_, lifecycle_, turnMonitor_, journalWrites_, discovery_, settings_, names_,
                        admission_, store_, policy_}),
-      server_(loop_, descriptors_.clients, config_.maxMemoryBytes / kPartialCommandsMemoryDivisor,
-              [this](const std::vector<std::string_view>& words, bool clientHasClosed) {
-                using ClientSide = CommandHandler::ClientSide;
-                return commandHandler_.handle(words, clientHasClosed ? ClientSide::closed : ClientSide::open);
+      server_(loop_, descriptors_.clients, config_.maxMemoryBytes / kClientMemoryDivisor,
+              [this](const std::vector<std::string_view>& words, ClientSide clientSide) {
+                return commandHandler_.handle(words, clientSide);
               }),
       signals_(loop_),
       committer_({loop_, policy_, admission_, store_, discovery_, sender_, server_, journalWrites_}),
--- a/src/dispatcher/journal_committer.cpp
+++ b/src/dispatcher/journal_committer.cpp
@@ -59,7 +59,7 @@
   }
   sender_.sendRequests();
   server_.sendReplies([this](MessageId id) { return store_.isAcceptanceDecided(id); },
-                      [this](MessageId id) { return replacementReply(id); });
+                      [this](MessageId id, ClientSide) { return replacementReply(id); });
   store_.clearLost();
 }
 
@@ -85,7 +85,7 @@
   journalWrites_.recordHanging(loop_.now(), store_.inFlight().size());
   server_.sendReplies(
       [this](MessageId id) { return store_.isAcceptanceDecided(id) && !store_.isLostAcceptance(id); },
-      [](MessageId) { return std::nullopt; });
+      [](MessageId, ClientSide) { return std::nullopt; });
 }
 
 }  // namespace stonewing
--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -1,20 +1,25 @@
 #include "server/client_connection.h"
 
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 #include "base/errors.h"
+#include "base/release_memory.h"
 
 namespace stonewing {
 namespace {
 
-// No further command of a client is read while more than this many bytes of its replies are unsent. Without
-// this, a client that never reads its replies would fill the memory with them.
-constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
+// Bytes read at a time. No further command of a client is executed while more than this many bytes of its
+// replies are unsent. Without this, a client that never reads its replies would fill the memory with them.
+constexpr std::size_t kMaxBytesHeld = std::size_t{16} * 1024;
+// The same while the memory of all clients is scarce.
+constexpr std::size_t kMaxBytesHeldIfScarce = std::size_t{4} * 1024;
+// Nor is one executed while this many of its accepted messages wait for the journal.
+constexpr std::size_t kMaxWaitingAcceptances = 512;
 // Limit on the input that is read and dropped while a connection is closing. Each byte costs time, and a
 // client may never stop sending.
 constexpr std::size_t kMaxDiscardedBytes = 1024 * 1024;
@@ -36,78 +41,108 @@
 
 }  // namespace
 
-ClientConnection::ClientConnection(EventLoop& loop, Owner& owner, int fd)
-    : loop_(loop), owner_(owner), socket_(loop, fd), lastActiveAt_(loop.now()) {}
+ClientConnection::ClientConnection(EventLoop& loop, Owner& owner, int fd, std::uint64_t number)
+    : loop_(loop),
+      owner_(owner),
+      socket_(loop, fd),
+      number_(number),
+      connectedAt_(loop.now()),
+      share_(owner.turnAllowance()),
+      lastActiveAt_(loop.now()) {}
 
 ClientConnection::~ClientConnection() { close(); }
 
 void ClientConnection::onEvents(std::uint32_t events) {
-  bool mayHaveEnded = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  const bool mayHaveEnded = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
+  if (mayHaveEnded && !hasLeft_ && !isClosing_) checkForDeparture();
+  if (isClosed_) return;
   serve(mayHaveEnded ? StreamEnd::possible : StreamEnd::notReported);
   if (!isClosed_) owner_.onDeadlineChanged(*this);
+  owner_.onServed();
+}
+
+// Looks for the end of the connection ahead of its unread input. A client that has left submits its messages
+// elsewhere, so those that are not read yet must not be accepted. After a reset no reply can reach it.
+void ClientConnection::checkForDeparture() {
+  pollfd socket{socket_.get(), POLLRDHUP, 0};
+  if (::poll(&socket, 1, 0) <= 0) return;
+  if ((socket.revents & (POLLERR | POLLHUP)) != 0) return closeNow(ClientCloseCause::resetByClient);
+  hasLeft_ = (socket.revents & POLLRDHUP) != 0;
 }
 
 void ClientConnection::serve(StreamEnd streamEnd) {
   write();
-  while (!isClosed_ && !isClosing_ && unsent_.size() <= kMaxUnsentBytes) {
-    ReadResult result = readCommands(streamEnd);
-    if (isClosed_) return;
-    if (result == ReadResult::wouldBlock) break;
-    if (result == ReadResult::more) {  // other connections are served before the remaining input
-      socket_.reschedule();
-      break;
-    }
-  }
-  updateBufferedBytes();
+  serveCommands(streamEnd);
+  updateMemory();
   if (!isClosed_ && isClosing_) discardInput();
   if (!isClosed_ && owner_.isDraining()) drainIfIdle();
 }
 
-// Reads one share of input and executes its commands.
-ReadResult ClientConnection::readCommands(StreamEnd streamEnd) {
-  if (received_.empty()) lastActiveAt_ = loop_.now();  // bytes read now begin a new command
-  ReadResult result = readAvailable(socket_.get(), received_, kMaxCommandBytes, streamEnd);
-  if (result == ReadResult::broken) {
-    closeNow();
-    return result;
-  }
-  hasInputEnded_ = result == ReadResult::endOfStream;
-  executeCommands();
-  if (!hasInputEnded_) return result;
-  // The client may have shut down only its sending side and still read, so it gets its remaining replies.
-  if (hasRepliesLeft()) {
-    startClosing();
-  } else {
-    closeNow();
+// Executes the client's commands until there are no more, or until they have to wait.
+void ClientConnection::serveCommands(StreamEnd streamEnd) {
+  bool isAllRead = false;
+  while (isServing()) {
+    if (executeCommands() == Progress::mustWait) return;
+    if (!isServing() || isAllRead) return;
+    if (hasInputEnded_) return finishInput();
+    if (share_.readableBytes() == 0) return deferCommands();
+    const ReadResult result = readInput(streamEnd);
+    if (result == ReadResult::broken) return closeNow(ClientCloseCause::resetByClient);
+    hasInputEnded_ = result == ReadResult::endOfStream;
+    hasLeft_ = hasLeft_ || hasInputEnded_;
+    isAllRead = result == ReadResult::wouldBlock;
   }
+}
+
+ReadResult ClientConnection::readInput(StreamEnd streamEnd) {
+  if (received_.empty()) lastActiveAt_ = loop_.now();  // bytes read now begin a new command
+  // Beyond one read the command is a long one. Without this, the buffer would grow to twice its size.
+  if (received_.size() >= kMaxBytesHeld) received_.reserve(kMaxCommandBytes);
+  const std::size_t before = received_.size();
+  const std::size_t wanted = std::min(maxBytesHeld(), share_.readableBytes());
+  const ReadResult result =
+      readAvailable(socket_.get(), received_, std::min(before + wanted, kMaxCommandBytes), streamEnd);
+  share_.recordRead(received_.size() - before);
   return result;
 }
 
-void ClientConnection::executeCommands() {
+// Executes the complete commands among the received bytes. Progress::mustWait: some are left.
+ClientConnection::Progress ClientConnection::executeCommands() {
+  Progress progress = Progress::mayContinue;
   std::size_t position = 0;
-  while (!isClosing_) {
+  while (!isClosing_ && position < received_.size()) {
     std::size_t used = 0;
-    RespParseResult result = parseRespCommand(std::string_view(received_).substr(position), words_, used);
+    const RespParseResult result =
+        parseRespCommand(std::string_view(received_).substr(position), words_, used);
     if (result == RespParseResult::needsMore && received_.size() - position < kMaxCommandBytes) break;
     if (result != RespParseResult::complete) {
       rejectAndClose("-ERR not a command, or over the limit of 65536 bytes\r\n");
       break;
     }
+    isHeldByReplies_ = hasTooManyReplies();
+    if (isHeldByReplies_ || !share_.takeCommand()) {
+      progress = Progress::mustWait;
+      break;
+    }
     executeCommand();
     position += used;
   }
   if (isClosing_ || position == received_.size()) {
     // Frees the buffer's memory as well, since most connected clients are idle at any time.
-    received_ = {};
+    releaseMemory(received_);
   } else {
     received_.erase(0, position);
   }
+  // Commands that wait for replies to be sent are executed once that is done.
+  if (progress == Progress::mustWait && !isHeldByReplies_) deferCommands();
+  return progress;
 }
 
 void ClientConnection::executeCommand() {
   lastActiveAt_ = loop_.now();
+  ++commands_;
   try {
-    addReply(owner_.execute(words_, hasInputEnded_));
+    addReply(owner_.execute(words_, clientSide()));
     hasSentCommand_ = true;
     hasSubmitted_ = hasSubmitted_ || words_.size() > 1;
   } catch (const Error& problem) {
@@ -115,80 +150,103 @@
   }
 }
 
+// Leaves the client's next commands for the next turn, so that other clients are served before.
+void ClientConnection::deferCommands() {
+  ++deferrals_;
+  owner_.onDeferred();
+  socket_.reschedule();
+}
+
+// All input is read and its commands are executed. The client may have shut down only its sending side and
+// still read, so it gets its remaining replies.
+void ClientConnection::finishInput() {
+  if (replies_.empty()) return closeNow(ClientCloseCause::endedByClient);
+  releaseMemory(received_);
+  startClosing(ClientCloseCause::endedByClient);
+}
+
+bool ClientConnection::hasTooManyReplies() const {
+  return replies_.size() > maxBytesHeld() || replies_.waitingAcceptances() >= kMaxWaitingAcceptances;
+}
+
 // Reads and drops the input of a connection that is closing. Closing a socket with unread bytes would reset
 // the connection, and the client could lose its last reply.
 void ClientConnection::discardInput() {
   std::string discarded;
-  ReadResult result = readAvailable(socket_.get(), discarded, kMaxCommandBytes);
+  const std::size_t maxBytes = std::min(maxBytesHeld(), share_.readableBytes());
+  const ReadResult result = readAvailable(socket_.get(), discarded, maxBytes);
+  share_.recordRead(discarded.size());
   discardedBytes_ += discarded.size();
-  bool isDone = result == ReadResult::endOfStream && !hasRepliesLeft();
-  if (result == ReadResult::broken || isDone) return closeNow();
+  const bool isDone = result == ReadResult::endOfStream && replies_.empty();
+  if (result == ReadResult::broken || isDone) return closeNow(ClientCloseCause::resetByClient);
   hasInputEnded_ = hasInputEnded_ || result == ReadResult::endOfStream;
   // Beyond the limit the client's input stays unread; the client still has kLingerMs to read its last reply.
   if (result == ReadResult::more && discardedBytes_ <= kMaxDiscardedBytes) socket_.reschedule();
 }
 
 void ClientConnection::write() {
-  if (isClosed_ || unsent_.empty()) return;
-  WriteBuffer::WriteResult result = unsent_.write(socket_.get());
-  if (result == WriteBuffer::WriteResult::broken) closeNow();
-  bool isLastReply = isClosing_ && replies_.empty();
-  if (result == WriteBuffer::WriteResult::all && isLastReply) ::shutdown(socket_.get(), SHUT_WR);
+  if (isClosed_ || !replies_.hasReady()) return;
+  const ReplyQueue::WriteResult result = replies_.write(socket_.get(), acknowledgements_);
+  reportAcknowledgements();
+  if (result == ReplyQueue::WriteResult::broken) return closeNow(ClientCloseCause::resetByClient);
+  if (isLingering()) ::shutdown(socket_.get(), SHUT_WR);
 }
 
 bool ClientConnection::awaitsDecision(const IsDecided& isDecided) const {
-  return std::any_of(replies_.begin(), replies_.end(), [&](const CommandReply& reply) {
-    return reply.submittedMessage && !isDecided(*reply.submittedMessage);
-  });
+  return replies_.awaitsDecision(isDecided);
 }
 
 void ClientConnection::sendReplies(const ReplacementReply& replacement) {
-  for (CommandReply& reply : std::exchange(replies_, {})) {
-    std::optional<std::string> newText =
-        reply.submittedMessage ? replacement(*reply.submittedMessage) : std::nullopt;
-    unsent_.add(newText ? std::move(*newText) : std::move(reply.text));
-  }
+  replies_.makeReady([&](MessageId id) { return replacement(id, clientSide()); }, acknowledgements_);
   write();
   if (isClosed_) return;
-  if (hasInputEnded_ && unsent_.empty()) return closeNow();
+  reportAcknowledgements();
+  if (hasInputEnded_ && isLingering()) return closeNow(ClientCloseCause::endedByClient);
+  if (isHeldByReplies_ && !hasTooManyReplies()) socket_.reschedule();
+  updateMemory();
   if (owner_.isDraining()) drainIfIdle();
   if (!isClosed_) owner_.onDeadlineChanged(*this);
 }
 
 void ClientConnection::drainIfIdle() {
-  bool isNew = !hasSentCommand_ && idleFor(loop_.now()) < kClientTimeoutMs;
-  if (isBetweenCommands() && !isNew && !checkForUnreadBytes()) closeGracefully();
+  const bool isNew = !hasSentCommand_ && idleFor(loop_.now()) < kClientTimeoutMs;
+  if (isBetweenCommands() && !isNew && !checkForUnreadBytes()) closeGracefully(ClientCloseCause::draining);
 }
 
-void ClientConnection::closeGracefully() {
-  startClosing();
+void ClientConnection::closeGracefully(ClientCloseCause cause) {
+  startClosing(cause);
   ::shutdown(socket_.get(), SHUT_WR);
   owner_.onDeadlineChanged(*this);
 }
 
-void ClientConnection::closeNow() {
+void ClientConnection::closeNow(ClientCloseCause cause) {
   if (isClosed_) return;
   isClosed_ = true;
+  const ClientCloseCause firstCause = closeCause_.value_or(cause);
+  closeCause_ = firstCause;
+  owner_.onClosed(*this, firstCause);
   close();
-  owner_.onClosed(*this);
 }
 
 void ClientConnection::close() {
   if (!socket_.isOpen()) return;
   socket_.close();
-  received_ = {};
-  updateBufferedBytes();
+  releaseMemory(received_);
+  replies_.drop(acknowledgements_);
+  reportAcknowledgements();
+  updateMemory();
 }
 
-void ClientConnection::endStalled() {
-  if (isClosing_ || !unsent_.empty()) return closeNow();
+void ClientConnection::endStalled(ClientCloseCause cause) {
+  if (isClosing_ || replies_.hasReady()) return closeNow(cause);
   if (isBetweenCommands()) {
-    if (!checkForUnreadBytes()) closeGracefully();
+    if (!checkForUnreadBytes()) closeGracefully(ClientCloseCause::idle);
     return;
   }
   rejectAndClose("-ERR half a command and no more\r\n");
-  received_ = {};
-  updateBufferedBytes();
+  closeCause_ = cause;
+  releaseMemory(received_);
+  updateMemory();
   owner_.onDeadlineChanged(*this);
 }
 
@@ -204,6 +262,10 @@
   return hasSubmitted_ || (!hasSentCommand_ && idleFor(now) >= kNewClientGraceMs);
 }
 
+std::size_t ClientConnection::maxBytesHeld() const {
+  return owner_.isMemoryScarce() ? kMaxBytesHeldIfScarce : kMaxBytesHeld;
+}
+
 Millis ClientConnection::allowedInactivity() const {
   if (isClosing_) return kLingerMs;
   if (!isBetweenCommands()) return kIncompleteCommandTimeoutMs;
@@ -212,23 +274,39 @@
 }
 
 void ClientConnection::addReply(CommandReply reply) {
-  if (replies_.empty()) owner_.onRepliesPending(*this);
-  replies_.push_back(std::move(reply));
+  if (!replies_.hasWaiting()) owner_.onRepliesPending(*this);
+  replies_.add(reply);
 }
 
 void ClientConnection::rejectAndClose(std::string error) {
   addReply({std::move(error), std::nullopt});
-  startClosing();
+  startClosing(ClientCloseCause::protocolError);
 }
 
-void ClientConnection::startClosing() {
+void ClientConnection::startClosing(ClientCloseCause cause) {
+  if (!closeCause_) closeCause_ = cause;
   isClosing_ = true;
   lastActiveAt_ = loop_.now();
 }
 
-void ClientConnection::updateBufferedBytes() {
-  std::size_t before = std::exchange(bufferedBytes_, received_.size());
-  if (before != bufferedBytes_) owner_.onBufferedBytesChanged(before, bufferedBytes_);
+void ClientConnection::updateMemory() {
+  const std::size_t after = heapBytes(received_) + replies_.memoryBytes();
+  const std::size_t before = std::exchange(memoryBytes_, after);
+  if (before != after) owner_.onMemoryChanged(before, after);
+}
+
+void ClientConnection::reportAcknowledgements() {
+  if (acknowledgements_.written.empty() && acknowledgements_.dropped.empty()) return;
+  owner_.onAcknowledgementsChanged(std::exchange(acknowledgements_, {}));
+}
+
+ClientRecord ClientConnection::record() const {
+  return {.number = number_,
+          .age = loop_.now() - connectedAt_,
+          .commands = commands_,
+          .deferrals = deferrals_,
+          .unreadBytes = received_.size(),
+          .unsentBytes = replies_.size()};
 }
 
 }  // namespace stonewing
--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,7 +10,11 @@
 #include "net/event_loop.h"
 #include "net/resp_parser.h"
 #include "net/watched_descriptor.h"
+#include "server/client_close_cause.h"
+#include "server/client_log.h"
 #include "server/command_reply.h"
+#include "server/reply_queue.h"
+#include "server/turn_allowance.h"
 
 namespace stonewing {
 
@@ -33,23 +38,32 @@
    public:
     virtual ~Owner() = default;
     // Executes a command. Throws Error where the client is to get an error reply and the connection to end.
-    // `hasClientShutDown`: the client has shut down its sending side, so it may no longer wait for the reply.
-    virtual CommandReply execute(const std::vector<std::string_view>& words, bool hasClientShutDown) = 0;
+    virtual CommandReply execute(const std::vector<std::string_view>& words, ClientSide clientSide) = 0;
     // Whether the server is draining: each connection is then closed as soon as it is between commands.
     virtual bool isDraining() const = 0;
     // The connection had no pending reply and now has one; the owner is to call sendReplies.
     virtual void onRepliesPending(ClientConnection& client) = 0;
-    // The number of bytes that the connection buffers of incomplete commands has changed.
-    virtual void onBufferedBytesChanged(std::size_t before, std::size_t after) = 0;
+    // The allowance of the present turn, for all clients.
+    virtual TurnAllowance& turnAllowance() = 0;
+    // Commands of the client are left for the next turn.
+    virtual void onDeferred() = 0;
+    // The memory of the connection's commands and replies, in bytes, has changed.
+    virtual void onMemoryChanged(std::size_t before, std::size_t after) = 0;
+    // Whether the memory of all clients is nearly used up: each is then to hold less.
+    virtual bool isMemoryScarce() const = 0;
+    // The connection has read or written what it could for now. Called last in each of its events.
+    virtual void onServed() = 0;
+    // Replies that accept messages were written or dropped.
+    virtual void onAcknowledgementsChanged(AcknowledgementChanges changes) = 0;
     // The value of inactivityDeadline() may have changed.
     virtual void onDeadlineChanged(ClientConnection& client) = 0;
     // The connection is closed. The owner must not destroy the object before the end of the event loop's turn
     // (EventLoop::deferDeletion).
-    virtual void onClosed(ClientConnection& client) = 0;
+    virtual void onClosed(ClientConnection& client, ClientCloseCause cause) = 0;
   };
 
-  // Takes ownership of `fd`, a connected non-blocking socket.
-  ClientConnection(EventLoop& loop, Owner& owner, int fd);
+  // Takes ownership of `fd`, a connected non-blocking socket. `number` identifies the connection in the log.
+  ClientConnection(EventLoop& loop, Owner& owner, int fd, std::uint64_t number);
   ~ClientConnection() override;
 
   // Registers the connection with the event loop. False if the kernel cannot register one more.
@@ -68,12 +82,13 @@
   // now, it would have connected without getting any reply.
   void drainIfIdle();
   // Shuts down the sending side; see the comment on the class. To be called between commands.
-  void closeGracefully();
-  // Closes the descriptor and reports it to the owner. Has no effect if it is closed already.
-  void closeNow();
-  // To be called once inactivityDeadline has passed, or when the memory of the incomplete command is needed
-  // for other clients. Closes the connection; a client in the middle of a command gets an error reply first.
-  void endStalled();
+  void closeGracefully(ClientCloseCause cause);
+  // Closes the descriptor and reports it to the owner, with the first cause that this connection was closed
+  // for. Has no effect if it is closed already.
+  void closeNow(ClientCloseCause cause);
+  // To be called once inactivityDeadline has passed, or when the memory of the connection is needed for other
+  // clients. Closes the connection; a client in the middle of a command gets an error reply first.
+  void endStalled(ClientCloseCause cause);
 
   // The time (steady clock) by which the client must be active again, or its connection is ended.
   Millis inactivityDeadline() const { return lastActiveAt_ + allowedInactivity(); }
@@ -81,13 +96,15 @@
   Millis lastActiveAt() const { return lastActiveAt_; }
   // Milliseconds from lastActiveAt() to `now`.
   Millis idleFor(Millis now) const { return now - lastActiveAt_; }
-  // Bytes buffered of incomplete commands.
-  std::size_t bufferedBytes() const { return bufferedBytes_; }
+  // The memory of commands that are not executed and replies that are not sent, in bytes.
+  std::size_t memoryBytes() const { return memoryBytes_; }
+  // For the log.
+  ClientRecord record() const;
 
   // No command is partly received, no reply is left to send, and the connection is not closing.
-  bool isBetweenCommands() const { return received_.empty() && !hasRepliesLeft() && !isClosing_; }
+  bool isBetweenCommands() const { return received_.empty() && replies_.empty() && !isClosing_; }
   // All replies were sent, and the connection waits only for the client to read them.
-  bool isLingering() const { return isClosing_ && !hasRepliesLeft(); }
+  bool isLingering() const { return isClosing_ && replies_.empty(); }
   // The connection can be closed in favour of another client without losing a command or a reply.
   bool isEvictable() const { return isBetweenCommands() || isLingering(); }
   // Whether the connection is evicted before others. A client that has submitted a message has no further
@@ -100,37 +117,56 @@
   bool checkForUnreadBytes();
 
  private:
+  enum class Progress { mayContinue, mustWait };
+
   void serve(StreamEnd streamEnd);
-  ReadResult readCommands(StreamEnd streamEnd);
-  void executeCommands();
+  void serveCommands(StreamEnd streamEnd);
+  void checkForDeparture();
+  ReadResult readInput(StreamEnd streamEnd);
+  Progress executeCommands();
   void executeCommand();
+  void deferCommands();
+  void finishInput();
   void discardInput();
   void write();
   void close();
 
   void addReply(CommandReply reply);
   void rejectAndClose(std::string error);
-  void startClosing();
+  void startClosing(ClientCloseCause cause);
 
   Millis allowedInactivity() const;
-  bool hasRepliesLeft() const { return !unsent_.empty() || !replies_.empty(); }
-  void updateBufferedBytes();
+  ClientSide clientSide() const { return hasLeft_ ? ClientSide::closed : ClientSide::open; }
+  bool isServing() const { return !isClosed_ && !isClosing_; }
+  bool hasTooManyReplies() const;
+  std::size_t maxBytesHeld() const;
+  void updateMemory();
+  void reportAcknowledgements();
 
   EventLoop& loop_;
   Owner& owner_;
   WatchedDescriptor socket_;
+  std::uint64_t number_;
+  Millis connectedAt_;
+  TurnAllowance::Share share_;
   std::string received_;                 // bytes of commands that are not executed yet
   std::vector<std::string_view> words_;  // of the command being executed; they refer to received_
-  std::vector<CommandReply> replies_;    // not moved to unsent_ yet, in the order of their commands
-  WriteBuffer unsent_;                   // bytes of replies that the socket has not accepted yet
+  ReplyQueue replies_;
+  AcknowledgementChanges acknowledgements_;  // not reported to the owner yet
   Millis lastActiveAt_;
-  std::size_t bufferedBytes_{0};   // size of received_, as last reported to the owner
+  std::size_t memoryBytes_{0};     // as last reported to the owner
   std::size_t discardedBytes_{0};  // input read and dropped while closing
+  std::uint64_t commands_{0};      // executed
+  std::uint64_t deferrals_{0};     // turns in which commands were left for the next one
   bool hasSentCommand_{false};
-  bool hasSubmitted_{false};   // a command with arguments was executed without an error
-  bool isClosing_{false};      // no further command is read
-  bool hasInputEnded_{false};  // the client has shut down its sending side
+  bool hasSubmitted_{false};  // a command with arguments was executed without an error
+  bool isClosing_{false};     // no further command is read
+  // The client has shut down its sending side, though some of its input may not be read yet.
+  bool hasLeft_{false};
+  bool hasInputEnded_{false};    // all input is read
+  bool isHeldByReplies_{false};  // commands wait until replies are sent
   bool isClosed_{false};
+  std::optional<ClientCloseCause> closeCause_;
 };
 
 }  // namespace stonewing
--- a/src/server/command_reply.h
+++ b/src/server/command_reply.h
@@ -19,8 +19,12 @@
 // Returns whether it is decided if an accepted message stays accepted.
 using IsDecided = std::function<bool(MessageId)>;
 
+// Whether a client has closed its sending side of the connection. One that has may no longer wait for a
+// reply, and may have submitted its message elsewhere.
+enum class ClientSide { open, closed };
+
 // Returns the reply to send if a message does not stay accepted; no value if it does and its own reply is
 // right.
-using ReplacementReply = std::function<std::optional<std::string>(MessageId)>;
+using ReplacementReply = std::function<std::optional<std::string>(MessageId, ClientSide)>;
 
 }  // namespace stonewing
--- a/src/server/resp_server.cpp
+++ b/src/server/resp_server.cpp
@@ -26,12 +26,22 @@
 // reached.
 constexpr std::size_t kReservedDivisor = 16;
 
+// The memory of one whole command and of the replies that its client may have.
+constexpr std::size_t kMinMemoryBytes = 2 * kMaxCommandBytes;
+
 // The client of the greatest rank is evicted first: one that lingers after its last reply, then one that is
 // preferred for eviction, then the one that has been idle for longest.
 std::tuple<bool, bool, Millis> evictionRank(const ClientConnection& client, Millis now) {
   return {client.isLingering(), client.isPreferredForEviction(now), client.idleFor(now)};
 }
 
+// What a client's memory costs the others: its bytes times how long it has been in the middle of a command,
+// or has not read its replies. A client that was active in this turn counts for a millisecond.
+double memoryCost(const ClientConnection& client, Millis now) {
+  constexpr Millis kMinDuration = 1;
+  return static_cast<double>(client.memoryBytes()) * std::max(kMinDuration, client.idleFor(now));
+}
+
 }  // namespace
 
 // A client connection together with the server's data about it.
@@ -45,11 +55,11 @@
   Millis scheduledDeadline{-1};
 };
 
-RespServer::RespServer(EventLoop& loop, std::size_t maxClients, std::size_t maxBufferedBytes,
+RespServer::RespServer(EventLoop& loop, std::size_t maxClients, std::size_t maxMemoryBytes,
                        CommandHandler handler)
     : loop_(loop),
       maxClients_(std::max<std::size_t>(1, maxClients)),
-      maxBufferedBytes_(std::max(maxBufferedBytes, kMaxCommandBytes)),
+      maxMemoryBytes_(std::max(maxMemoryBytes, kMinMemoryBytes)),
       handler_(std::move(handler)),
       listener_(loop) {}
 
@@ -103,15 +113,24 @@
   }
 }
 
-CommandReply RespServer::execute(const std::vector<std::string_view>& words, bool hasClientShutDown) {
-  return handler_(words, hasClientShutDown);
+CommandReply RespServer::execute(const std::vector<std::string_view>& words, ClientSide clientSide) {
+  return handler_(words, clientSide);
 }
 
 void RespServer::onRepliesPending(ClientConnection& client) { clientsWithReplies_.push_back(&client); }
 
-void RespServer::onBufferedBytesChanged(std::size_t before, std::size_t after) {
-  bufferedBytes_ -= before;
-  bufferedBytes_ += after;
+void RespServer::onMemoryChanged(std::size_t before, std::size_t after) {
+  memoryBytes_ -= before;
+  memoryBytes_ += after;
+  peakMemoryBytes_ = std::max(peakMemoryBytes_, memoryBytes_);
+}
+
+void RespServer::onAcknowledgementsChanged(AcknowledgementChanges changes) {
+  auto append = [](std::vector<MessageId>& all, const std::vector<MessageId>& added) {
+    all.insert(all.end(), added.begin(), added.end());
+  };
+  append(acknowledgements_.written, changes.written);
+  append(acknowledgements_.dropped, changes.dropped);
 }
 
 // The casts to Client are safe here and below: addClient creates no connection of another type.
@@ -124,8 +143,9 @@
   deadlines_.insert({deadline, &client});
 }
 
-void RespServer::onClosed(ClientConnection& connection) {
+void RespServer::onClosed(ClientConnection& connection, ClientCloseCause cause) {
   auto& client = static_cast<Client&>(connection);
+  log_.clientClosed(client.record(), cause, loop_.now());
   ClientConnection* noClient = nullptr;
   std::replace(clientsWithReplies_.begin(), clientsWithReplies_.end(), &connection, noClient);
   deadlines_.erase({client.scheduledDeadline, &client});
@@ -151,7 +171,7 @@
     Client* client = findIdlest(Lingering::included);
     if (client == nullptr || client == previous) return false;
     if (client->isLingering() || !client->checkForUnreadBytes()) {
-      client->closeNow();
+      client->closeNow(ClientCloseCause::replaced);
       return true;
     }
     previous = client;  // it has unread bytes: it counts as active, and now ranks last
@@ -167,7 +187,8 @@
   auto lingering = static_cast<std::size_t>(std::count_if(clients_.begin(), clients_.end(), isLingering));
   if (clients_.size() - lingering + reserved <= maxClients_) return;
   Client* client = findIdlest(Lingering::excluded);
-  if (client != nullptr && !client->checkForUnreadBytes()) client->closeGracefully();
+  if (client != nullptr && !client->checkForUnreadBytes())
+    client->closeGracefully(ClientCloseCause::replaced);
 }
 
 void RespServer::onEvents(std::uint32_t) {
@@ -207,7 +228,8 @@
   int on = 1;
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   ClientConnection::Owner& owner = *this;  // make_unique cannot convert to a private base
-  auto client = std::make_unique<Client>(loop_, owner, fd);
+  auto client = std::make_unique<Client>(loop_, owner, fd, ++lastNumber_);
+  log_.clientAccepted();
   if (!client->watch()) return;
   clients_.push_back(std::move(client));
   clients_.back()->position = std::prev(clients_.end());
@@ -222,17 +244,20 @@
   retryAcceptAt_ = loop_.now() + kAcceptRetryMs;
 }
 
-// Ends clients while the bytes of incomplete commands exceed the limit, beginning with the one whose command
-// began first. Without a limit, a few hundred clients that each send most of a command would fill the memory.
-void RespServer::evictIncompleteCommands() {
-  while (bufferedBytes_ > maxBufferedBytes_) {
-    Client* oldest = nullptr;
+// Ends clients while the memory of all of them exceeds the limit, beginning with the one that has held the
+// most for longest. Without a limit, a few hundred clients that each send most of a command would fill the
+// memory.
+void RespServer::evictForMemory() {
+  while (memoryBytes_ > maxMemoryBytes_) {
+    const Millis now = loop_.now();
+    Client* greatest = nullptr;
     for (auto& client : clients_) {
-      if (client->bufferedBytes() == 0) continue;
-      if (oldest == nullptr || client->lastActiveAt() < oldest->lastActiveAt()) oldest = client.get();
+      if (client->memoryBytes() == 0 || client->isBetweenCommands()) continue;
+      if (greatest == nullptr || memoryCost(*client, now) > memoryCost(*greatest, now))
+        greatest = client.get();
     }
-    if (oldest == nullptr) return;
-    oldest->endStalled();
+    if (greatest == nullptr) return;
+    greatest->endStalled(ClientCloseCause::outOfMemory);
   }
 }
 
@@ -242,13 +267,14 @@
     if (loop_.now() < client.inactivityDeadline()) {
       onDeadlineChanged(client);
     } else {
-      client.endStalled();
+      client.endStalled(ClientCloseCause::stalled);
     }
   }
 }
 
 void RespServer::onTick() {
-  evictIncompleteCommands();
+  allowance_.beginTurn();
+  log_.logCounters(loop_.now(), clients_.size(), memoryBytes_, peakMemoryBytes_);
   if (retryAcceptAt_ && loop_.now() >= *retryAcceptAt_) onEvents(0);
   endStalledClients();
 }
--- a/src/server/resp_server.h
+++ b/src/server/resp_server.h
@@ -15,7 +15,10 @@
 #include "net/resp_parser.h"
 #include "net/watched_descriptor.h"
 #include "server/client_connection.h"
+#include "server/client_log.h"
 #include "server/command_reply.h"
+#include "server/reply_queue.h"
+#include "server/turn_allowance.h"
 
 namespace stonewing {
 
@@ -27,14 +30,13 @@
   using IsDecided = stonewing::IsDecided;
   using ReplacementReply = stonewing::ReplacementReply;
   // Executes one command. Throws Error where the client is to get an error reply and the connection to end.
-  // `hasClientShutDown`: the client has shut down its sending side.
   using CommandHandler =
-      std::function<CommandReply(const std::vector<std::string_view>& words, bool hasClientShutDown)>;
+      std::function<CommandReply(const std::vector<std::string_view>& words, ClientSide clientSide)>;
 
-  // `maxClients`: limit on open connections; at least 1 is allowed. `maxBufferedBytes`: limit on the bytes of
-  // incomplete commands of all clients together; at least kMaxCommandBytes are allowed. The loop must outlive
-  // the server.
-  RespServer(EventLoop& loop, std::size_t maxClients, std::size_t maxBufferedBytes, CommandHandler handler);
+  // `maxClients`: limit on open connections; at least 1 is allowed. `maxMemoryBytes`: limit on the memory of
+  // the commands and replies of all clients together; at least that of one command is allowed. The loop must
+  // outlive the server.
+  RespServer(EventLoop& loop, std::size_t maxClients, std::size_t maxMemoryBytes, CommandHandler handler);
   ~RespServer() override;
 
   // Listens on `address`. Throws std::system_error if that fails, for instance because the address is in use.
@@ -49,6 +51,10 @@
   // How many clients have replies that are not sent yet.
   std::size_t clientsWithReplies() const { return clientsWithReplies_.size(); }
   std::size_t clientCount() const { return clients_.size(); }
+  // The memory of the commands and replies of all clients, in bytes.
+  std::size_t memoryBytes() const { return memoryBytes_; }
+  // The accepting replies that were written or dropped since the last call.
+  AcknowledgementChanges takeAcknowledgementChanges() { return std::exchange(acknowledgements_, {}); }
   // Closes the client that is to be evicted first, which frees its descriptor. False if no client can be
   // closed without losing a command or a reply.
   bool closeIdlestClient();
@@ -65,12 +71,17 @@
 
   void onEvents(std::uint32_t events) override;
 
-  CommandReply execute(const std::vector<std::string_view>& words, bool hasClientShutDown) override;
+  CommandReply execute(const std::vector<std::string_view>& words, ClientSide clientSide) override;
   bool isDraining() const override { return isDraining_; }
   void onRepliesPending(ClientConnection& client) override;
-  void onBufferedBytesChanged(std::size_t before, std::size_t after) override;
+  TurnAllowance& turnAllowance() override { return allowance_; }
+  void onDeferred() override { log_.commandDeferred(); }
+  void onMemoryChanged(std::size_t before, std::size_t after) override;
+  bool isMemoryScarce() const override { return memoryBytes_ > maxMemoryBytes_ / 2; }
+  void onAcknowledgementsChanged(AcknowledgementChanges changes) override;
   void onDeadlineChanged(ClientConnection& client) override;
-  void onClosed(ClientConnection& client) override;
+  void onServed() override { evictForMemory(); }
+  void onClosed(ClientConnection& client, ClientCloseCause cause) override;
 
   AcceptProgress acceptPending();
   bool evictForNewClient();
@@ -80,14 +91,19 @@
 
   Client* findIdlest(Lingering lingering);
   void closeIdlestGracefully();
-  void evictIncompleteCommands();
+  void evictForMemory();
   void endStalledClients();
 
   EventLoop& loop_;
   std::size_t maxClients_;
-  std::size_t maxBufferedBytes_;
-  std::size_t bufferedBytes_{0};  // of all clients together
+  std::size_t maxMemoryBytes_;
+  std::size_t memoryBytes_{0};  // of all clients together
+  std::size_t peakMemoryBytes_{0};
   CommandHandler handler_;
+  ClientLog log_;
+  TurnAllowance allowance_;
+  AcknowledgementChanges acknowledgements_;  // since the last call of takeAcknowledgementChanges()
+  std::uint64_t lastNumber_{0};
   WatchedDescriptor listener_;
   bool isDraining_{false};
   std::optional<Millis> retryAcceptAt_;         // set after a failure that no event will report again
--- a/tests/support/resp_server_harness.h
+++ b/tests/support/resp_server_harness.h
@@ -29,7 +29,7 @@
   RespServer server;
 
   explicit RespServerHarness(std::size_t maxClients = 64)
-      : server(loop, maxClients, 1 << 20, [this](const auto& words, bool) -> RespServer::CommandReply {
+      : server(loop, maxClients, 1 << 20, [this](const auto& words, ClientSide) -> RespServer::CommandReply {
           if (words[0] == "PING") return {kPong};
           if (words[0] != "SUBMIT") throw ProtocolError("unknown command");
           accepted.emplace_back(words[2]);
@@ -44,7 +44,7 @@
   int connectClient() { return clients.emplace_back(connectToLoopback(port)); }
 
   void sendReplies() {
-    server.sendReplies([](MessageId) { return true; }, [](MessageId) { return std::nullopt; });
+    server.sendReplies([](MessageId) { return true; }, [](MessageId, ClientSide) { return std::nullopt; });
   }
 
   void turn() {
