Admission: the memory of accepted messages is bounded, and who holds most is refused first

Callers saw: beside four clients that submit bodies of 60 KB to a silent destination, 327 of 1,360 ordinary messages were refused, and the process took 141 MB of 96 (with a large folder): it is killed.

Cause: accepted bodies were bounded by open-cap and by the folder, not by limits.memory_mb; and when either was used up by one client, all were refused.

Now messages in flight and pending notifications may occupy a third of the memory, counted with what a message costs beside its texts. Before a limit is reached, a client may hold 16 times as many messages, or 4 times as much memory, as is still free for all (the dynamic threshold of shared buffers), and one message may take a sixteenth of what is free, so that clients that come on ever new connections cannot use up the rest with large bodies. message.refused says which rule refused a message, at a bounded rate.

--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -20,8 +20,16 @@
 constexpr double kShortTurnWeight = 0.25;
 // Share of the journal's capacity in use above which pressure rises; pressure is 1 when the journal is full.
 constexpr double kLowJournalFill = 0.9;
-// Pressure when the limit of messages in flight is reached. All messages are rejected from a pressure of 1
-// on.
+// A client connection may have this many times as many messages in flight, and as much memory of messages, as
+// is still free for all. So a few clients that submit without end leave a part of both to the others, and a
+// single one may use nearly all.
+constexpr int kMaxMultipleOfFreeMessages = 16;
+constexpr std::size_t kMaxMultipleOfFreeBytes = 4;
+// A message may take this share of the free memory. So messages with large bodies are rejected before small
+// ones, also those of clients that come on a new connection for each.
+constexpr std::size_t kMaxMessageDivisor = 16;
+// Pressure when the limit of messages in flight, or of their memory, is reached. All messages are rejected
+// from a pressure of 1 on.
 constexpr double kOutOfCapacityPressure = 2;
 // Time constant for the decay of recorded turns, final answers and rejections.
 constexpr Millis kRecentTimeConstant = 1000;
@@ -45,6 +53,26 @@
 
 }  // namespace
 
+const char* nameOf(RejectionReason reason) {
+  switch (reason) {
+    case RejectionReason::none:
+      return "none";
+    case RejectionReason::overShare:
+      return "over_share";
+    case RejectionReason::tooManyInFlight:
+      return "too_many_in_flight";
+    case RejectionReason::outOfMemory:
+      return "out_of_memory";
+    case RejectionReason::loopBehind:
+      return "loop_behind";
+    case RejectionReason::journalHanging:
+      return "journal_hanging";
+    case RejectionReason::journalFull:
+      return "journal_full";
+  }
+  return "unknown";
+}
+
 double AdmissionController::DecayingCount::valueAt(Millis now) const {
   return value * decayFactor(now - updatedAt);
 }
@@ -73,15 +101,33 @@
   return turnWork_ * decayFactor(now - turnWorkUpdatedAt_);
 }
 
-double AdmissionController::pressure(const AdmissionInputs& inputs) const {
+Pressure AdmissionController::pressure(const AdmissionInputs& inputs) const {
   // Below the limit, the policy evicts messages if necessary.
-  if (inputs.messagesInFlight >= settings_.maxInFlight) return kOutOfCapacityPressure;
+  if (inputs.messagesInFlight >= settings_.maxInFlight)
+    return {kOutOfCapacityPressure, RejectionReason::tooManyInFlight};
+  if (settings_.maxMessageBytes > 0 && inputs.messageBytes >= settings_.maxMessageBytes)
+    return {kOutOfCapacityPressure, RejectionReason::outOfMemory};
   // While a turn reads a burst of submissions, its work so far already shows that the turn is long.
-  Millis work = std::max(decayedTurnWork(inputs.now), inputs.workThisTurn);
+  const Millis work = std::max(decayedTurnWork(inputs.now), inputs.workThisTurn);
   // A journal write that hangs delays all answers as a long turn does, although the loop itself is idle.
-  return std::max({pressureOf(work, kLowTurnWork, kHighTurnWork),
-                   pressureOf(inputs.journalWriteAge, kLowTurnWork, kHighTurnWork),
-                   pressureOf(inputs.journalFillShare, kLowJournalFill, 1)});
+  return std::max(
+      {Pressure{pressureOf(work, kLowTurnWork, kHighTurnWork), RejectionReason::loopBehind},
+       Pressure{pressureOf(inputs.journalWriteAge, kLowTurnWork, kHighTurnWork),
+                RejectionReason::journalHanging},
+       Pressure{pressureOf(inputs.journalFillShare, kLowJournalFill, 1), RejectionReason::journalFull}},
+      [](const Pressure& a, const Pressure& b) { return a.value < b.value; });
+}
+
+// Below the limits, the clients that use most of what they limit are rejected first, and the largest
+// messages.
+bool AdmissionController::isOverShare(const AdmissionInputs& inputs) const {
+  const int freeMessages = settings_.maxInFlight - inputs.messagesInFlight;
+  if (inputs.clientMessages > kMaxMultipleOfFreeMessages * freeMessages) return true;
+  if (settings_.maxMessageBytes == 0) return false;
+  const std::size_t usedBytes = inputs.messageBytes + inputs.submittedBytes;
+  const std::size_t freeBytes = settings_.maxMessageBytes - std::min(settings_.maxMessageBytes, usedBytes);
+  return inputs.clientBytes > kMaxMultipleOfFreeBytes * freeBytes ||
+         inputs.submittedBytes > freeBytes / kMaxMessageDivisor;
 }
 
 // The expected time until one more message can be accepted, at the rate at which messages finish, if the
@@ -113,11 +159,12 @@
                                               bool overQuota) {
   double quotaShare = overQuota ? settings_.overQuotaWeightShare : 1;
   double relativeWeight = priorityWeight / std::max(kMinDivisor, settings_.maxPriorityWeight) * quotaShare;
-  double currentPressure = pressure(inputs);
-  if (currentPressure <= 0) return {true, 0};
+  const Pressure current =
+      isOverShare(inputs) ? Pressure{kOutOfCapacityPressure, RejectionReason::overShare} : pressure(inputs);
+  if (current.value <= 0) return {};
   // The messages of the highest weight are rejected last.
-  if (currentPressure < 1 && relativeWeight > currentPressure) return {true, 0};
-  return {false, drawRetryAfter(inputs.now, inputs.journalWriteAge)};
+  if (current.value < 1 && relativeWeight > current.value) return {};
+  return {false, drawRetryAfter(inputs.now, inputs.journalWriteAge), current.reason};
 }
 
 }  // namespace stonewing
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <random>
 
@@ -7,8 +8,8 @@
 
 // Overload control of the dispatcher itself: decides whether a submitted message is accepted, before it is
 // written to the journal. The policy handles messages after their acceptance. The decision depends only on
-// whether the limit of messages in flight is reached, the journal is nearly full, a journal write hangs, or
-// the event loop falls behind.
+// whether the limit of messages in flight or of their memory is reached or nearly so by the messages of the
+// submitting client, the journal is nearly full, a journal write hangs, or the event loop falls behind.
 namespace stonewing {
 
 // Times are milliseconds.
@@ -17,21 +18,49 @@
   bool mayAdviseRetryAfter{false};  // whether a rejection may carry a Retry-After
   Millis maxRetryAfter{0};          // the longest Retry-After of a rejection
   double maxPriorityWeight{1};      // the highest weight of all traffic types
-  double overQuotaWeightShare{1};   // factor on the weight of a message over its tenant's quota
+  // Limit of the memory of accepted messages and pending notifications, in bytes; 0: none.
+  std::size_t maxMessageBytes{0};
+  double overQuotaWeightShare{1};  // factor on the weight of a message over its tenant's quota
 };
 
 // The state of the dispatcher at a decision. Times are milliseconds.
 struct AdmissionInputs {
   Millis now{0};
   int messagesInFlight{0};
-  double journalFillShare{0};  // share of the journal's capacity that is in use
-  Millis journalWriteAge{0};   // duration of the journal write in progress so far; 0 if there is none
-  Millis workThisTurn{0};      // work of the event loop in this turn so far, without sleep
+  double journalFillShare{0};     // share of the journal's capacity that is in use
+  Millis journalWriteAge{0};      // duration of the journal write in progress so far; 0 if there is none
+  Millis workThisTurn{0};         // work of the event loop in this turn so far, without sleep
+  std::size_t messageBytes{0};    // memory of accepted messages and pending notifications
+  std::size_t submittedBytes{0};  // memory that the message itself would occupy
+  // What the client connection that submits the message has in flight already.
+  int clientMessages{0};
+  std::size_t clientBytes{0};
 };
 
+// Why a message is rejected.
+enum class RejectionReason {
+  none,             // it is accepted
+  overShare,        // its client, or the message, would take too much of what is still free
+  tooManyInFlight,  // the limit of messages in flight is reached
+  outOfMemory,      // the limit of their memory is reached
+  loopBehind,       // the event loop falls behind
+  journalHanging,   // a journal write takes long
+  journalFull       // the journal is nearly full
+};
+
+// The name of the reason in the log.
+const char* nameOf(RejectionReason reason);
+
 struct AdmissionDecision {
   bool accepted{true};
   Millis retryAfter{0};  // of a rejection, in milliseconds; 0 if it carries none
+  RejectionReason reason{RejectionReason::none};
+};
+
+// How far the dispatcher is overloaded, and by what.
+struct Pressure {
+  double value{0};
+  RejectionReason reason{RejectionReason::none};
 };
 
 // Accepts or rejects messages by the overload of the dispatcher and the weight of the message. Uses no clock,
@@ -56,7 +85,7 @@
 
   // The overload of the dispatcher. 0: none; below 1: messages with less than this share of the highest
   // weight are rejected; from 1 on: all messages are rejected.
-  double pressure(const AdmissionInputs& inputs) const;
+  Pressure pressure(const AdmissionInputs& inputs) const;
 
  private:
   // A count of events in which the contribution of each event decays with its age.
@@ -68,6 +97,7 @@
     void add(Millis now);
   };
 
+  bool isOverShare(const AdmissionInputs& inputs) const;
   double decayedTurnWork(Millis now) const;
   Millis expectedWait(Millis now, Millis journalWriteAge) const;
   Millis drawRetryAfter(Millis now, Millis journalWriteAge);
--- a/src/dispatcher/command_handler.cpp
+++ b/src/dispatcher/command_handler.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kNoRetryAfter = 0;
 constexpr std::size_t kPingWords = 1;
 constexpr std::size_t kSubmitWords = 5;  // SUBMIT, ordering key, message id, field list, body
+constexpr double kRefusalLinesPerSecond = 10;
+constexpr double kRefusalLineBurst = 100;
 
 }  // namespace
 
@@ -35,20 +37,21 @@
       names_(dependencies.names),
       admission_(dependencies.admission),
       store_(dependencies.store),
-      policy_(dependencies.policy) {}
+      policy_(dependencies.policy),
+      refusalLines_(kRefusalLinesPerSecond, kRefusalLineBurst) {}
 
 RespServer::CommandReply CommandHandler::handle(const std::vector<std::string_view>& words,
-                                                ClientSide clientSide) {
+                                                CommandSource source) {
   if (words[0] == "PING") {
     if (words.size() != kPingWords) throw ProtocolError("PING takes no arguments");
     return {kPongReply};
   }
-  if (words[0] == "SUBMIT") return submit(words, clientSide);
+  if (words[0] == "SUBMIT") return submit(words, source);
   throw ProtocolError("unknown command; the commands are PING and SUBMIT");
 }
 
 RespServer::CommandReply CommandHandler::submit(const std::vector<std::string_view>& words,
-                                                ClientSide clientSide) {
+                                                CommandSource source) {
   if (words.size() != kSubmitWords)
     throw ProtocolError("SUBMIT needs 4 arguments: ordering key, message id, field list, body");
   // Whole milliseconds, because rounding of fractions would make equal durations unequal.
@@ -58,23 +61,46 @@
   if (store_.contains(message.reference)) return {kOkReply, store_.idOf(message.reference)};
   if (!discovery_.hasEverListed(message.destination)) {
     // Until discovery has answered, the endpoint list may be outdated and lack a new destination.
+  message.submitter = source.client;
     if (!discovery_.hasAcceptedResponse()) return {busyReply(kNoRetryAfter)};
     throw ProtocolError("unknown dest");
   }
   // A client that has not waited for the reply submits the message to another dispatcher. If this dispatcher
   // accepted the message too, it would deliver the message unnecessarily.
-  if (clientSide == ClientSide::closed || !lifecycle_.mayAcceptMessages()) return {busyReply(kNoRetryAfter)};
+  if (source.side == ClientSide::closed || !lifecycle_.mayAcceptMessages()) return {busyReply(kNoRetryAfter)};
   const AdmissionDecision admission = decideAdmission(message);
-  if (!admission.accepted) return {busyReply(admission.retryAfter)};
+  if (!admission.accepted) {
+    logRefused(message, admission.reason);
+    return {busyReply(admission.retryAfter)};
+  }
   return accept(std::move(message), receivedWall);
 }
 
 AdmissionDecision CommandHandler::decideAdmission(const StoredMessage& message) {
   const Millis now = loop_.now();
-  const AdmissionInputs inputs{now, policy_.state().messagesInFlight, store_.usedShare(),
-                               journalWrites_.hangingFor(now), turnMonitor_.workThisTurn()};
+  const SubmitterUsage client = store_.usageOf(message.submitter);
+  const AdmissionInputs inputs{.now = now,
+                               .messagesInFlight = policy_.state().messagesInFlight,
+                               .journalFillShare = store_.usedShare(),
+                               .journalWriteAge = journalWrites_.hangingFor(now),
+                               .workThisTurn = turnMonitor_.workThisTurn(),
+                               .messageBytes = store_.memoryBytes(),
+                               .submittedBytes = LiveMessages::memoryOf(message),
+                               .clientMessages = client.messages,
+                               .clientBytes = client.memoryBytes};
   const double priorityWeight = settings_.types.at(message.type.value).priorityWeight;
   return admission_.decide(inputs, priorityWeight, policy_.isOverQuota(message.tenant));
+void CommandHandler::logRefused(const StoredMessage& message, RejectionReason reason) {
+  if (!refusalLines_.allow(loop_.now())) return;
+  log::info("message.refused", {{"message", message.reference},
+                                {"reason", nameOf(reason)},
+                                {"client", message.submitter},
+                                {"in_flight", policy_.state().messagesInFlight},
+                                {"message_bytes", store_.memoryBytes()},
+                                {"turn_work_ms", turnMonitor_.workThisTurn()},
+                                {"suppressed", refusalLines_.takeSuppressed()}});
+}
+
 }
 
 RespServer::CommandReply CommandHandler::accept(StoredMessage message, Millis receivedWall) {
--- a/src/dispatcher/command_handler.h
+++ b/src/dispatcher/command_handler.h
@@ -44,7 +44,7 @@
   // Executes the command whose name is `words[0]`, in capitals; `words` is not empty. The reply to an
   // accepted message must not be sent before the message's record is in the journal. Throws Error for an
   // invalid command; the server then replies with an error and closes the connection.
-  RespServer::CommandReply handle(const std::vector<std::string_view>& words, ClientSide clientSide);
+  RespServer::CommandReply handle(const std::vector<std::string_view>& words, CommandSource source);
 
  private:
   RespServer::CommandReply submit(const std::vector<std::string_view>& words, ClientSide clientSide);
@@ -53,6 +53,7 @@
 
   const EventLoop& loop_;
   const Lifecycle& lifecycle_;
+  void logRefused(const StoredMessage& message, RejectionReason reason);
   const TurnMonitor& turnMonitor_;
   const JournalWriteMonitor& journalWrites_;
   const DiscoveryClient& discovery_;
@@ -61,6 +62,7 @@
   AdmissionController& admission_;
   MessageStore& store_;
   DispatchPolicy& policy_;
+  log::RateLimit refusalLines_;
 };
 
 }  // namespace stonewing
--- a/src/dispatcher/config.cpp
+++ b/src/dispatcher/config.cpp
@@ -147,8 +147,9 @@
   return settings;
 }
 
-AdmissionSettings admissionSettings(const DeploymentSettings& settings) {
+AdmissionSettings admissionSettings(const DeploymentSettings& settings, std::size_t maxMessageBytes) {
   AdmissionSettings admission;
+  admission.maxMessageBytes = maxMessageBytes;
   admission.maxInFlight = settings.maxInFlight;
   admission.mayAdviseRetryAfter = settings.mayAdviseRetryAfter;
   admission.maxRetryAfter = settings.maxRetryAfter;
--- a/src/dispatcher/config.h
+++ b/src/dispatcher/config.h
@@ -49,8 +49,9 @@
 // The settings of the deployment with those of the operator. Throws SettingsError if they are invalid.
 DeploymentSettings deploymentSettings(const DispatcherConfig& config);
 
-// The part of a deployment's settings that admission needs.
-AdmissionSettings admissionSettings(const DeploymentSettings& settings);
+// The part of a deployment's settings that admission needs. `maxMessageBytes`: the memory that accepted
+// messages may occupy.
+AdmissionSettings admissionSettings(const DeploymentSettings& settings, std::size_t maxMessageBytes);
 
 // Parses an IPv4 address with a port. Throws a ConfigError that names `key` if `text` is not one.
 sockaddr_in requireAddress(const std::string& text, const char* key);
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -12,6 +12,9 @@
 
 // Commands and replies of all clients may use a tenth of the process's memory.
 constexpr std::size_t kClientMemoryDivisor = 10;
+// Accepted messages and pending notifications may use a third of it. The allocator may need half as much
+// again for what lies between them.
+constexpr std::size_t kMessageMemoryDivisor = 3;
 // If at least this many clients wait for replies, the journal is written before the decisions of the turn, so
 // that the replies need not wait for these decisions. Otherwise the accepted messages and the attempts of the
 // turn share one write of the journal.
@@ -40,7 +43,8 @@
       descriptors_(descriptorBudget(config_.maxDescriptors, settings_.maxConcurrentRequests)),
       names_(readNameTables(config_.settings)),
       policy_(withinBudget(settings_, descriptors_), config_.seed),
-      admission_(admissionSettings(settings_), config_.seed + kAdmissionSeedOffset),
+      admission_(admissionSettings(settings_, config_.maxMemoryBytes / kMessageMemoryDivisor),
+                 config_.seed + kAdmissionSeedOffset),
       store_(names_, config_.journalFolder, config_.maxJournalBytes, config_.journalWriter),
       discovery_(loop_, policy_, names_, requireAddress(config_.discoveryAddress, "discovery"),
                  config_.discoveryAddress, config_.seed + kDiscoverySeedOffset,
@@ -53,8 +57,8 @@
       commandHandler_({loop_, lifecycle_, turnMonitor_, journalWrites_, discovery_, settings_, names_,
                        admission_, store_, policy_}),
       server_(loop_, descriptors_.clients, config_.maxMemoryBytes / kClientMemoryDivisor,
-              [this](const std::vector<std::string_view>& words, ClientSide clientSide) {
-                return commandHandler_.handle(words, clientSide);
+              [this](const std::vector<std::string_view>& words, CommandSource source) {
+                return commandHandler_.handle(words, source);
               }),
       signals_(loop_),
       committer_({loop_, policy_, admission_, store_, discovery_, sender_, server_, journalWrites_}),
--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -142,7 +142,7 @@
   lastActiveAt_ = loop_.now();
   ++commands_;
   try {
-    addReply(owner_.execute(words_, clientSide()));
+    addReply(owner_.execute(words_, {number_, clientSide()}));
     hasSentCommand_ = true;
     hasSubmitted_ = hasSubmitted_ || words_.size() > 1;
   } catch (const Error& problem) {
--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -38,7 +38,7 @@
    public:
     virtual ~Owner() = default;
     // Executes a command. Throws Error where the client is to get an error reply and the connection to end.
-    virtual CommandReply execute(const std::vector<std::string_view>& words, ClientSide clientSide) = 0;
+    virtual CommandReply execute(const std::vector<std::string_view>& words, CommandSource source) = 0;
     // Whether the server is draining: each connection is then closed as soon as it is between commands.
     virtual bool isDraining() const = 0;
     // The connection had no pending reply and now has one; the owner is to call sendReplies.
--- a/src/server/command_reply.h
+++ b/src/server/command_reply.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -23,6 +24,12 @@
 // reply, and may have submitted its message elsewhere.
 enum class ClientSide { open, closed };
 
+// The client connection that a command came on.
+struct CommandSource {
+  std::uint64_t client{0};  // its number among all of the process, from 1
+  ClientSide side{ClientSide::open};
+};
+
 // Returns the reply to send if a message does not stay accepted; no value if it does and its own reply is
 // right.
 using ReplacementReply = std::function<std::optional<std::string>(MessageId, ClientSide)>;
--- a/src/server/resp_server.cpp
+++ b/src/server/resp_server.cpp
@@ -113,8 +113,8 @@
   }
 }
 
-CommandReply RespServer::execute(const std::vector<std::string_view>& words, ClientSide clientSide) {
-  return handler_(words, clientSide);
+CommandReply RespServer::execute(const std::vector<std::string_view>& words, CommandSource source) {
+  return handler_(words, source);
 }
 
 void RespServer::onRepliesPending(ClientConnection& client) { clientsWithReplies_.push_back(&client); }
--- a/src/server/resp_server.h
+++ b/src/server/resp_server.h
@@ -31,7 +31,7 @@
   using ReplacementReply = stonewing::ReplacementReply;
   // Executes one command. Throws Error where the client is to get an error reply and the connection to end.
   using CommandHandler =
-      std::function<CommandReply(const std::vector<std::string_view>& words, ClientSide clientSide)>;
+      std::function<CommandReply(const std::vector<std::string_view>& words, CommandSource source)>;
 
   // `maxClients`: limit on open connections; at least 1 is allowed. `maxMemoryBytes`: limit on the memory of
   // the commands and replies of all clients together; at least that of one command is allowed. The loop must
@@ -71,7 +71,7 @@
 
   void onEvents(std::uint32_t events) override;
 
-  CommandReply execute(const std::vector<std::string_view>& words, ClientSide clientSide) override;
+  CommandReply execute(const std::vector<std::string_view>& words, CommandSource source) override;
   bool isDraining() const override { return isDraining_; }
   void onRepliesPending(ClientConnection& client) override;
   TurnAllowance& turnAllowance() override { return allowance_; }
--- a/src/storage/live_messages.cpp
+++ b/src/storage/live_messages.cpp
@@ -14,6 +14,12 @@
 // The same for each pending notification: space for its record and for the record of its confirmation.
 constexpr std::size_t kNotificationReserveBytes = 256;
 
+// The memory of a message beside its texts: its entry here, in the policy and in their indexes, with a few
+// attempts.
+constexpr std::size_t kMessageMemoryBytes = 2048;
+// The same of a pending notification.
+constexpr std::size_t kNotificationMemoryBytes = 256;
+
 void appendMessage(std::string& frames, MessageId id, const StoredMessage& message) {
   frames += Journal::framed(encodeAccepted(id, message));
   for (const AttemptRecord& attempt : message.attempts) {
@@ -27,8 +33,17 @@
   return acceptedRecordBytes(message) + kMessageReserveBytes;
 }
 
+std::size_t LiveMessages::memoryOf(const StoredMessage& message) {
+  return message.body->capacity() + message.acceptedFields.capacity() + message.idempotencyKey.capacity() +
+         message.reference.capacity() + kMessageMemoryBytes;
+}
+
 void LiveMessages::add(MessageId id, StoredMessage message) {
   messageBytes_ += bytesOf(message);
+  messageMemoryBytes_ += memoryOf(message);
+  SubmitterUsage& usage = usageBySubmitter_[message.submitter];
+  ++usage.messages;
+  usage.memoryBytes += memoryOf(message);
   byReference_[message.reference] = id;
   messages_[id] = std::move(message);
 }
@@ -37,11 +52,25 @@
   auto entry = messages_.find(id);
   if (entry == messages_.end()) return false;
   messageBytes_ -= bytesOf(entry->second);
+  messageMemoryBytes_ -= memoryOf(entry->second);
+  removeUsage(entry->second);
   byReference_.erase(entry->second.reference);
   messages_.erase(entry);
   return true;
 }
 
+void LiveMessages::removeUsage(const StoredMessage& message) {
+  auto entry = usageBySubmitter_.find(message.submitter);
+  SubmitterUsage& usage = entry->second;
+  usage.memoryBytes -= memoryOf(message);
+  if (--usage.messages == 0) usageBySubmitter_.erase(entry);
+}
+
+SubmitterUsage LiveMessages::usageOf(SubmitterId submitter) const {
+  auto entry = usageBySubmitter_.find(submitter);
+  return entry == usageBySubmitter_.end() ? SubmitterUsage{} : entry->second;
+}
+
 StoredMessage* LiveMessages::find(MessageId id) {
   auto entry = messages_.find(id);
   return entry == messages_.end() ? nullptr : &entry->second;
@@ -66,6 +95,10 @@
   return messageBytes_ + notifications_.size() * kNotificationReserveBytes;
 }
 
+std::size_t LiveMessages::memoryBytes() const {
+  return messageMemoryBytes_ + notifications_.size() * kNotificationMemoryBytes;
+}
+
 CompactionChunk LiveMessages::encodeChunk(MessageId from, std::size_t maxBytes) const {
   CompactionChunk chunk;
   chunk.nextId = from;
--- a/src/storage/live_messages.h
+++ b/src/storage/live_messages.h
@@ -20,6 +20,12 @@
   Remainder remainder{Remainder::none};
 };
 
+// What the messages of one client connection that are in flight amount to.
+struct SubmitterUsage {
+  int messages{0};
+  std::size_t memoryBytes{0};
+};
+
 // The messages in flight and the pending notifications: everything that a compacted journal has to hold. Each
 // message is either in flight, or has a pending notification, or neither. Owned by the MessageStore, which
 // journals each change; used on one thread.
@@ -27,6 +33,8 @@
  public:
   // The bytes that `message` adds to liveBytes(): its record, and a reserve for the records that may follow.
   static std::size_t bytesOf(const StoredMessage& message);
+  // The memory that `message` occupies in the whole process while it is in flight, in bytes.
+  static std::size_t memoryOf(const StoredMessage& message);
 
   // Adds a message in flight.
   void add(MessageId id, StoredMessage message);
@@ -53,15 +61,25 @@
   // The size of a compacted journal in bytes, plus the reserve for further records of the live messages and
   // notifications.
   std::size_t liveBytes() const;
+  // The memory that the messages in flight and the pending notifications occupy in the whole process, in
+  // bytes.
+  std::size_t memoryBytes() const;
+  // Zero for a client without a message in flight.
+  SubmitterUsage usageOf(SubmitterId submitter) const;
   // The records of all live messages and notifications from id `from` on, ordered by id. The chunk ends with
   // the record that makes it `maxBytes` long or longer.
   CompactionChunk encodeChunk(MessageId from, std::size_t maxBytes) const;
 
  private:
+  void removeUsage(const StoredMessage& message);
+
   std::map<MessageId, StoredMessage> messages_;
   std::map<MessageId, OutcomeNotification> notifications_;
   std::unordered_map<std::string, MessageId> byReference_;  // the ids of messages_
   std::size_t messageBytes_{0};                             // sum of bytesOf() over messages_
+  std::size_t messageMemoryBytes_{0};                       // sum of memoryOf() over messages_
+  // Only of clients with messages in flight, so that those that have left leave nothing behind.
+  std::unordered_map<SubmitterId, SubmitterUsage> usageBySubmitter_;
 };
 
 }  // namespace stonewing
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -116,6 +116,11 @@
   // A record that was appended to the journal but not yet written by a finished commit.
   struct UncommittedRecord {
     RecordTag tag{};
+  // The memory that messages in flight and pending notifications occupy in the whole process, in bytes.
+  std::size_t memoryBytes() const { return live_.memoryBytes(); }
+  // What the messages in flight of one client connection amount to.
+  SubmitterUsage usageOf(SubmitterId submitter) const { return live_.usageOf(submitter); }
+
     MessageId message{};
     std::optional<int> attempt{};  // the attempt's number, for RecordTag::attempted
     // The record, in case the compacted file needs a copy of it. Empty if no compaction was in progress, or
--- a/src/storage/stored_message.h
+++ b/src/storage/stored_message.h
@@ -31,6 +31,10 @@
   bool journaled{true};
 };
 
+// The client connection that submitted a message, by its number in this process, from 1. 0: an earlier
+// process accepted the message.
+using SubmitterId = std::uint64_t;
+
 // A message in flight, including the parts of it that the decision module does not need.
 struct StoredMessage {
   std::string reference;       // the client's id of the message, also sent to the endpoint
@@ -43,6 +47,7 @@
   Millis deadlineWall{};
   std::vector<AttemptRecord> attempts;  // in the order in which their requests began
   std::string acceptedFields;           // part of its journal record: key, reference and field list
+  SubmitterId submitter{};
 };
 
 // The outcome of a message that was not delivered in time. The values are part of stored journals.
--- a/tests/admission/admission_controller_test.cpp
+++ b/tests/admission/admission_controller_test.cpp
@@ -27,6 +27,30 @@
   EXPECT_FALSE(controller.decide({50, 100, 0.5}, 2, false).accepted);
 }
 
+// Clients that submit without end must not use up what all share; one that has nothing in flight finds a
+// place.
+TEST(AdmissionController, RejectsTheClientsThatHoldMostBeforeTheLimitsAreReached) {
+  AdmissionSettings settings = admissionSettings();
+  settings.maxMessageBytes = 1'000'000;
+  AdmissionController controller(settings, 1);
+  AdmissionInputs inputs{.now = 10, .messagesInFlight = 95, .clientMessages = 80};
+  EXPECT_TRUE(controller.decide(inputs, 2, false).accepted);
+  inputs.clientMessages = 81;
+  EXPECT_FALSE(controller.decide(inputs, 2, false).accepted);
+  inputs = {.now = 10, .messagesInFlight = 20, .messageBytes = 900'000, .clientBytes = 400'000};
+  EXPECT_TRUE(controller.decide(inputs, 2, false).accepted);
+  inputs.clientBytes = 400'001;
+  EXPECT_FALSE(controller.decide(inputs, 2, false).accepted);
+  inputs = {.now = 10, .messagesInFlight = 20, .messageBytes = 900'000, .submittedBytes = 5'000};
+  EXPECT_TRUE(controller.decide(inputs, 2, false).accepted);
+  inputs.submittedBytes = 6'000;
+  EXPECT_FALSE(controller.decide(inputs, 2, false).accepted);
+  inputs = {.now = 10, .messagesInFlight = 20, .messageBytes = 999'999};
+  EXPECT_TRUE(controller.decide(inputs, 0.01, true).accepted);
+  inputs.messageBytes = 1'000'000;
+  EXPECT_FALSE(controller.decide(inputs, 2, false).accepted);
+}
+
 // A loop that is behind answers every client too late. All clients would then submit again, and the loop
 // would stay behind.
 TEST(AdmissionController, RejectsTheLowestWeightsFirstWhileTheLoopIsBehindAndStopsSoonAfter) {
--- a/tests/support/resp_server_harness.h
+++ b/tests/support/resp_server_harness.h
@@ -29,12 +29,13 @@
   RespServer server;
 
   explicit RespServerHarness(std::size_t maxClients = 64)
-      : server(loop, maxClients, 1 << 20, [this](const auto& words, ClientSide) -> RespServer::CommandReply {
-          if (words[0] == "PING") return {kPong};
-          if (words[0] != "SUBMIT") throw ProtocolError("unknown command");
-          accepted.emplace_back(words[2]);
-          return {"+OK\r\n"};
-        }) {
+      : server(loop, maxClients, 1 << 20,
+               [this](const auto& words, CommandSource) -> RespServer::CommandReply {
+                 if (words[0] == "PING") return {kPong};
+                 if (words[0] != "SUBMIT") throw ProtocolError("unknown command");
+                 accepted.emplace_back(words[2]);
+                 return {"+OK\r\n"};
+               }) {
     server.listen(*parseAddress("127.0.0.1:" + std::to_string(port)));
   }
   ~RespServerHarness() {
