Clients that leave: what they cannot know of is withdrawn, and no id runs twice

Callers saw: a client that sent 50 unsafe messages in one write and left had them sent on, and when it came again with the same ids after 0.5 s, all 50 ran twice; of 1,000 messages of which most were unread when the client reset, 31 were sent afterwards; a message whose acceptance was being journaled while its client left was sent as well, and the id then refused as a duplicate.

Causes: the end of a connection was noticed behind its last byte only; requests were sent before the reply showed that the client had gone; an id was known only while its message was in flight.

What a client may have read stays accepted and is delivered: nothing tells a client that read +OK and reset from one that did not read it.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -1,6 +1,7 @@
 #include "delivery/attempt_sender.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "delivery/request_writer.h"
@@ -102,6 +103,39 @@
   for (EndpointConnection* connection : requestJournal_.takeCommitted()) sendRequest(*connection);
 }
 
+bool AttemptSender::cancelUnsent(MessageId message) {
+  const StoredMessage* stored = store_.find(message);
+  if (stored == nullptr) return false;
+  std::set<EndpointConnection*> connections;
+  constexpr int kFirstAttempt = 0;
+  auto first = connectionOfAttempt_.lower_bound({message, kFirstAttempt});
+  for (auto entry = first; entry != connectionOfAttempt_.end() && entry->first.first == message; ++entry) {
+    connections.insert(entry->second);
+  }
+  auto hasBegun = [](const EndpointConnection* connection) { return connection->isBusy(); };
+  if (std::any_of(connections.begin(), connections.end(), hasBegun)) return false;
+  if (hasSentAttempt(*stored)) return false;
+  for (EndpointConnection* connection : connections) cancelUnsentOn(*connection, message);
+  return true;
+}
+
+// Whether a request of the message was sent that may have been executed. The attempts whose requests wait on
+// a connection are not among them.
+bool AttemptSender::hasSentAttempt(const StoredMessage& message) const {
+  const MessageId id = store_.idOf(message.reference);
+  return std::any_of(message.attempts.begin(), message.attempts.end(), [&](const AttemptRecord& attempt) {
+    return !attempt.provablyNotExecuted && !connectionOfAttempt_.contains({id, attempt.number});
+  });
+}
+
+void AttemptSender::cancelUnsentOn(EndpointConnection& connection, MessageId message) {
+  for (BatchedAttempt& attempt : connection.attempts()) {
+    if (attempt.message != message || attempt.isFinished()) continue;
+    finishAttempt(connection, attempt, {AttemptOutcome::notSent});
+  }
+  if (connection.areAllAttemptsFinished()) release(connection, CloseCause::cancelled);
+}
+
 void AttemptSender::sendRequest(EndpointConnection& connection) {
   connection.removeFinishedAttempts();
   if (connection.attempts().empty()) return release(connection, CloseCause::cancelled);
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -63,6 +63,9 @@
   void recordRequests();
   // Sends the recorded requests. Must be called once that commit is done.
   void sendRequests();
+  // Ends all attempts of a message as not sent, if none of their requests has begun. Otherwise returns false
+  // and changes nothing. Must not be called between a decision and recordRequests().
+  [[nodiscard]] bool cancelUnsent(MessageId message);
 
   // Handles time-outs, and connections that cannot be established.
   void onTick();
@@ -85,6 +88,8 @@
 
   void assignConnection(Batch batch);
   bool prepareRequest(EndpointConnection& connection);
+  bool hasSentAttempt(const StoredMessage& message) const;
+  void cancelUnsentOn(EndpointConnection& connection, MessageId message);
   void sendRequest(EndpointConnection& connection);
   void abandonUnusable(EndpointConnection& connection);
   bool isStillSendable(const EndpointConnection& connection) const;
--- a/src/dispatcher/command_handler.cpp
+++ b/src/dispatcher/command_handler.cpp
@@ -14,11 +14,13 @@
 
 constexpr const char* kOkReply = "+OK\r\n";
 constexpr const char* kPongReply = "+PONG\r\n";
+// To a message that has failed and may have been executed. It is no error of the client, which may go on.
+constexpr const char* kFailedReply = "-FAILED the message has ended, and may have been executed\r\n";
 constexpr Millis kNoRetryAfter = 0;
-constexpr std::size_t kPingWords = 1;
-constexpr std::size_t kSubmitWords = 5;  // SUBMIT, ordering key, message id, field list, body
 constexpr double kRefusalLinesPerSecond = 10;
 constexpr double kRefusalLineBurst = 100;
+constexpr std::size_t kPingWords = 1;
+constexpr std::size_t kSubmitWords = 5;  // SUBMIT, ordering key, message id, field list, body
 
 }  // namespace
 
@@ -38,6 +40,7 @@
       admission_(dependencies.admission),
       store_(dependencies.store),
       policy_(dependencies.policy),
+      unacknowledged_(dependencies.unacknowledged),
       refusalLines_(kRefusalLinesPerSecond, kRefusalLineBurst) {}
 
 RespServer::CommandReply CommandHandler::handle(const std::vector<std::string_view>& words,
@@ -57,11 +60,13 @@
   // Whole milliseconds, because rounding of fractions would make equal durations unequal.
   const Millis receivedWall = std::floor(wallNow());
   StoredMessage message = store_.decode(words[1], words[2], words[3], words[4], receivedWall);
+  message.submitter = source.client;
   // The client has submitted the message again because the first reply was lost.
-  if (store_.contains(message.reference)) return {kOkReply, store_.idOf(message.reference)};
+  if (store_.contains(message.reference)) return acceptRepeated(message.reference);
+  if (const auto outcome = store_.finishedOutcomeOf(message.reference))
+    return {*outcome == ExecutedOutcome::delivered ? kOkReply : kFailedReply};
   if (!discovery_.hasEverListed(message.destination)) {
     // Until discovery has answered, the endpoint list may be outdated and lack a new destination.
-  message.submitter = source.client;
     if (!discovery_.hasAcceptedResponse()) return {busyReply(kNoRetryAfter)};
     throw ProtocolError("unknown dest");
   }
@@ -76,6 +81,17 @@
   return accept(std::move(message), receivedWall);
 }
 
+void CommandHandler::logRefused(const StoredMessage& message, RejectionReason reason) {
+  if (!refusalLines_.allow(loop_.now())) return;
+  log::info("message.refused", {{"message", message.reference},
+                                {"reason", nameOf(reason)},
+                                {"client", message.submitter},
+                                {"in_flight", policy_.state().messagesInFlight},
+                                {"message_bytes", store_.memoryBytes()},
+                                {"turn_work_ms", turnMonitor_.workThisTurn()},
+                                {"suppressed", refusalLines_.takeSuppressed()}});
+}
+
 AdmissionDecision CommandHandler::decideAdmission(const StoredMessage& message) {
   const Millis now = loop_.now();
   const SubmitterUsage client = store_.usageOf(message.submitter);
@@ -90,17 +106,12 @@
                                .clientBytes = client.memoryBytes};
   const double priorityWeight = settings_.types.at(message.type.value).priorityWeight;
   return admission_.decide(inputs, priorityWeight, policy_.isOverQuota(message.tenant));
-void CommandHandler::logRefused(const StoredMessage& message, RejectionReason reason) {
-  if (!refusalLines_.allow(loop_.now())) return;
-  log::info("message.refused", {{"message", message.reference},
-                                {"reason", nameOf(reason)},
-                                {"client", message.submitter},
-                                {"in_flight", policy_.state().messagesInFlight},
-                                {"message_bytes", store_.memoryBytes()},
-                                {"turn_work_ms", turnMonitor_.workThisTurn()},
-                                {"suppressed", refusalLines_.takeSuppressed()}});
 }
 
+RespServer::CommandReply CommandHandler::acceptRepeated(const std::string& reference) {
+  const MessageId id = store_.idOf(reference);
+  unacknowledged_.addRepeated(id);
+  return {kOkReply, id};
 }
 
 RespServer::CommandReply CommandHandler::accept(StoredMessage message, Millis receivedWall) {
@@ -108,6 +119,7 @@
   const Millis deadline = loop_.now() + (message.deadlineWall - receivedWall);
   const std::optional<MessageId> id = store_.accept(std::move(message));
   if (!id) return {busyReply(admission_.recordRejection(loop_.now()))};
+  unacknowledged_.addAccepted(*id);
   const StoredMessage& stored = *store_.find(*id);  // valid while the message is in flight
   policy_.acceptMessage(*id, stored.type, stored.tenant, stored.orderingKey, stored.destination, deadline);
   log::debug("message.accepted", {{"message", stored.reference},
--- a/src/dispatcher/command_handler.h
+++ b/src/dispatcher/command_handler.h
@@ -9,6 +9,8 @@
 #include "dispatcher/journal_write_monitor.h"
 #include "dispatcher/lifecycle.h"
 #include "dispatcher/turn_monitor.h"
+#include "dispatcher/unacknowledged_messages.h"
+#include "logging/rate_limit.h"
 #include "net/event_loop.h"
 #include "policy/dispatch_policy.h"
 #include "server/resp_server.h"
@@ -37,6 +39,7 @@
     AdmissionController& admission;
     MessageStore& store;
     DispatchPolicy& policy;
+    UnacknowledgedMessages& unacknowledged;
   };
 
   explicit CommandHandler(const Dependencies& dependencies);
@@ -47,13 +50,14 @@
   RespServer::CommandReply handle(const std::vector<std::string_view>& words, CommandSource source);
 
  private:
-  RespServer::CommandReply submit(const std::vector<std::string_view>& words, ClientSide clientSide);
+  RespServer::CommandReply submit(const std::vector<std::string_view>& words, CommandSource source);
+  RespServer::CommandReply acceptRepeated(const std::string& reference);
   AdmissionDecision decideAdmission(const StoredMessage& message);
+  void logRefused(const StoredMessage& message, RejectionReason reason);
   RespServer::CommandReply accept(StoredMessage message, Millis receivedWall);
 
   const EventLoop& loop_;
   const Lifecycle& lifecycle_;
-  void logRefused(const StoredMessage& message, RejectionReason reason);
   const TurnMonitor& turnMonitor_;
   const JournalWriteMonitor& journalWrites_;
   const DiscoveryClient& discovery_;
@@ -62,6 +66,7 @@
   AdmissionController& admission_;
   MessageStore& store_;
   DispatchPolicy& policy_;
+  UnacknowledgedMessages& unacknowledged_;
   log::RateLimit refusalLines_;
 };
 
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -15,6 +15,7 @@
 // Accepted messages and pending notifications may use a third of it. The allocator may need half as much
 // again for what lies between them.
 constexpr std::size_t kMessageMemoryDivisor = 3;
+constexpr std::size_t kFinishedReferenceMemoryDivisor = 64;
 // If at least this many clients wait for replies, the journal is written before the decisions of the turn, so
 // that the replies need not wait for these decisions. Otherwise the accepted messages and the attempts of the
 // turn share one write of the journal.
@@ -45,7 +46,8 @@
       policy_(withinBudget(settings_, descriptors_), config_.seed),
       admission_(admissionSettings(settings_, config_.maxMemoryBytes / kMessageMemoryDivisor),
                  config_.seed + kAdmissionSeedOffset),
-      store_(names_, config_.journalFolder, config_.maxJournalBytes, config_.journalWriter),
+      store_(names_, config_.journalFolder, config_.maxJournalBytes, config_.journalWriter,
+             config_.maxMemoryBytes / kFinishedReferenceMemoryDivisor),
       discovery_(loop_, policy_, names_, requireAddress(config_.discoveryAddress, "discovery"),
                  config_.discoveryAddress, config_.seed + kDiscoverySeedOffset,
                  pollTiming(settings_.discoveryKind, settings_.drainGrace)),
@@ -55,13 +57,14 @@
                 config_.discoveryAddress),
       turnMonitor_(loop_, store_),
       commandHandler_({loop_, lifecycle_, turnMonitor_, journalWrites_, discovery_, settings_, names_,
-                       admission_, store_, policy_}),
+                       admission_, store_, policy_, unacknowledged_}),
       server_(loop_, descriptors_.clients, config_.maxMemoryBytes / kClientMemoryDivisor,
               [this](const std::vector<std::string_view>& words, CommandSource source) {
                 return commandHandler_.handle(words, source);
               }),
       signals_(loop_),
-      committer_({loop_, policy_, admission_, store_, discovery_, sender_, server_, journalWrites_}),
+      committer_({loop_, policy_, admission_, store_, discovery_, sender_, server_, journalWrites_,
+                  unacknowledged_}),
       decisions_(policy_, sender_, store_),
       reloader_(config_, std::move(source), discovery_, notifier_),
       zoneHealthLog_(names_.zones) {
--- a/src/dispatcher/dispatcher.h
+++ b/src/dispatcher/dispatcher.h
@@ -18,6 +18,7 @@
 #include "dispatcher/lifecycle.h"
 #include "dispatcher/signal_handler.h"
 #include "dispatcher/turn_monitor.h"
+#include "dispatcher/unacknowledged_messages.h"
 #include "dispatcher/zone_health_log.h"
 #include "net/event_loop.h"
 #include "policy/dispatch_policy.h"
@@ -71,6 +72,7 @@
   Lifecycle lifecycle_;
   TurnMonitor turnMonitor_;
   JournalWriteMonitor journalWrites_;
+  UnacknowledgedMessages unacknowledged_;
   CommandHandler commandHandler_;
   RespServer server_;
   SignalHandler signals_;
--- a/src/dispatcher/journal_committer.cpp
+++ b/src/dispatcher/journal_committer.cpp
@@ -16,6 +16,9 @@
 // outdated time, and they could go to endpoints that have begun to drain meanwhile.
 constexpr Millis kMaxTimeAge = 5;
 constexpr Millis kNoWait = 0;
+constexpr Millis kNoRetryAfter = 0;
+constexpr double kWithdrawalLinesPerSecond = 10;
+constexpr double kWithdrawalLineBurst = 100;
 
 }  // namespace
 
@@ -33,7 +36,9 @@
       discovery_(dependencies.discovery),
       sender_(dependencies.sender),
       server_(dependencies.server),
-      journalWrites_(dependencies.journalWrites) {
+      journalWrites_(dependencies.journalWrites),
+      unacknowledged_(dependencies.unacknowledged),
+      withdrawalLines_(kWithdrawalLinesPerSecond, kWithdrawalLineBurst) {
   if (store_.descriptor() >= 0) completion_.emplace(loop_, store_.descriptor());
 }
 
@@ -57,9 +62,11 @@
     policy_.beginRound(loop_.now());
     discovery_.readAfterStall(loop_.now() - decidedAt);
   }
-  sender_.sendRequests();
+  // Replies come first: only they show which clients have left, and what these submitted is not to be sent.
   server_.sendReplies([this](MessageId id) { return store_.isAcceptanceDecided(id); },
-                      [this](MessageId id, ClientSide) { return replacementReply(id); });
+                      [this](MessageId id, ClientSide side) { return replacementReply(id, side); });
+  applyAcknowledgementChanges();
+  sender_.sendRequests();
   store_.clearLost();
 }
 
@@ -72,8 +79,34 @@
   }
 }
 
-std::optional<std::string> JournalCommitter::replacementReply(MessageId id) {
+void JournalCommitter::applyAcknowledgementChanges() {
+  const AcknowledgementChanges changes = server_.takeAcknowledgementChanges();
+  for (MessageId id : changes.written) unacknowledged_.recordWritten(id);
+  for (MessageId id : changes.dropped) {
+    if (unacknowledged_.recordDropped(id)) withdraw(id);
+  }
+}
+
+// Withdraws a message of whose acceptance no client can know. Its client has submitted it again elsewhere,
+// and would have it executed twice. Returns false for a message that may have been executed: it stays
+// accepted, so that the same reference is not executed again.
+bool JournalCommitter::withdraw(MessageId id) {
+  const StoredMessage* message = store_.find(id);
+  if (message == nullptr || !sender_.cancelUnsent(id)) return false;
+  if (withdrawalLines_.allow(loop_.now())) {
+    log::info("message.withdrawn", {{"message", message->reference},
+                                    {"client", message->submitter},
+                                    {"suppressed", withdrawalLines_.takeSuppressed()}});
+  }
+  policy_.cancelMessage(id);
+  store_.recordWithdrawn(id);
+  return true;
+}
+
+std::optional<std::string> JournalCommitter::replacementReply(MessageId id, ClientSide side) {
   if (store_.isLostAcceptance(id)) return busyReply(admission_.recordRejection(loop_.now()));
+  if (side == ClientSide::closed && unacknowledged_.hasOneReplyLeft(id) && withdraw(id))
+    return busyReply(kNoRetryAfter);
   if (const StoredMessage* message = store_.find(id))
     log::debug("message.acknowledged", {{"message", message->reference}});
   return std::nullopt;
--- a/src/dispatcher/journal_committer.h
+++ b/src/dispatcher/journal_committer.h
@@ -8,6 +8,8 @@
 #include "delivery/attempt_sender.h"
 #include "discovery/discovery_client.h"
 #include "dispatcher/journal_write_monitor.h"
+#include "dispatcher/unacknowledged_messages.h"
+#include "logging/rate_limit.h"
 #include "net/event_loop.h"
 #include "net/loop_registration.h"
 #include "policy/dispatch_policy.h"
@@ -48,6 +50,7 @@
     AttemptSender& sender;
     RespServer& server;
     JournalWriteMonitor& journalWrites;
+    UnacknowledgedMessages& unacknowledged;
   };
 
   // Throws std::system_error if the loop cannot watch the journal's descriptor.
@@ -61,7 +64,9 @@
   void executeCommitted();
   void cancelLostMessages();
   void replyWithoutRecords();
-  std::optional<std::string> replacementReply(MessageId id);
+  std::optional<std::string> replacementReply(MessageId id, ClientSide side);
+  void applyAcknowledgementChanges();
+  bool withdraw(MessageId id);
 
   EventLoop& loop_;
   DispatchPolicy& policy_;
@@ -71,6 +76,8 @@
   AttemptSender& sender_;
   RespServer& server_;
   JournalWriteMonitor& journalWrites_;
+  UnacknowledgedMessages& unacknowledged_;
+  log::RateLimit withdrawalLines_;
   std::optional<JournalCompletion> completion_;  // only with a background writer
 };
 
--- /dev/null
+++ b/src/storage/finished_references.cpp
@@ -0,0 +1,34 @@
+#include "storage/finished_references.h"
+
+namespace stonewing {
+namespace {
+
+// A node and a bucket of the map, and an entry of the queue.
+constexpr std::size_t kEntryBytes = 96;
+
+}  // namespace
+
+std::size_t FinishedReferences::memoryOf(const std::string& reference) {
+  return kEntryBytes + reference.size();
+}
+
+void FinishedReferences::add(const std::string& reference, ExecutedOutcome outcome) {
+  auto [entry, isNew] = outcomes_.insert_or_assign(reference, outcome);
+  if (!isNew) return;
+  order_.push_back(&entry->first);
+  memoryBytes_ += memoryOf(reference);
+  while (memoryBytes_ > maxBytes_) {
+    const std::string* oldest = order_.front();
+    memoryBytes_ -= memoryOf(*oldest);
+    order_.pop_front();
+    outcomes_.erase(outcomes_.find(*oldest));
+  }
+}
+
+std::optional<ExecutedOutcome> FinishedReferences::find(std::string_view reference) const {
+  auto entry = outcomes_.find(std::string(reference));
+  if (entry == outcomes_.end()) return std::nullopt;
+  return entry->second;
+}
+
+}  // namespace stonewing
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -25,8 +25,11 @@
 }  // namespace
 
 MessageStore::MessageStore(const NameTables& names, const std::string& folder, std::size_t maxBytes,
-                           JournalWriter writer)
-    : names_(names), journal_(folder, maxBytes, writer), schedule_(journal_.maxBytes()) {}
+                           JournalWriter writer, std::size_t maxFinishedReferenceBytes)
+    : names_(names),
+      journal_(folder, maxBytes, writer),
+      schedule_(journal_.maxBytes()),
+      finished_(maxFinishedReferenceBytes) {}
 
 StoredMessage MessageStore::decode(std::string_view orderingKey, std::string_view reference,
                                    std::string_view fieldList, std::string_view body,
@@ -60,10 +63,13 @@
                  [&](AttemptedRecord&& attempted) { replayAttempted(id, std::move(attempted)); },
                  [&](NotExecutedRecord&& notExecuted) { replayNotExecuted(id, notExecuted); },
                  [&](NotificationPendingRecord&& pending) {
+                   if (pending.notification.result == FinalOutcome::failed)
+                     rememberExecuted(id, ExecutedOutcome::failed);
                    finishMessage(id);
                    live_.addNotification(id, std::move(pending.notification));
                  },
                  [&](FinishedRecord&&) {
+                   rememberExecuted(id, ExecutedOutcome::delivered);
                    finishMessage(id);
                    live_.removeNotification(id);
                  },
@@ -147,14 +153,22 @@
 void MessageStore::recordDelivered(MessageId id) {
   if (live_.find(id) == nullptr) return;
   makeSpaceAndAppend(encodeFinished(id), {RecordTag::finished, id});
+  rememberExecuted(id, ExecutedOutcome::delivered);
   finishMessage(id);
 }
 
+void MessageStore::recordWithdrawn(MessageId id) {
+  if (live_.find(id) == nullptr) return;
+  makeSpaceAndAppend(encodeFinished(id), {RecordTag::finished, id});
+  live_.remove(id);
+}
+
 void MessageStore::addPendingNotification(MessageId id, FinalOutcome result, Millis retryAfter) {
   const StoredMessage* message = live_.find(id);
   if (message == nullptr) return;
   OutcomeNotification notification{message->reference, result, retryAfter};
   makeSpaceAndAppend(encodeNotificationPending(id, notification), {RecordTag::notificationPending, id});
+  if (result == FinalOutcome::failed) rememberExecuted(id, ExecutedOutcome::failed);
   finishMessage(id);
   live_.addNotification(id, std::move(notification));
 }
@@ -168,6 +182,15 @@
   if (live_.remove(id)) ++finishedCount_;
 }
 
+// Remembers the reference of a message that is about to finish, unless it was provably not executed.
+void MessageStore::rememberExecuted(MessageId id, ExecutedOutcome outcome) {
+  const StoredMessage* message = live_.find(id);
+  if (message == nullptr) return;
+  auto mayHaveExecuted = [](const AttemptRecord& attempt) { return !attempt.provablyNotExecuted; };
+  if (std::any_of(message->attempts.begin(), message->attempts.end(), mayHaveExecuted))
+    finished_.add(message->reference, outcome);
+}
+
 bool MessageStore::append(std::string bytes, UncommittedRecord record) {
   if (!journal_.append(bytes)) return false;
   if (journal_.isCompacting()) record.bytes = std::move(bytes);
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -13,6 +13,7 @@
 #include "base/ids.h"
 #include "settings/settings_reader.h"
 #include "storage/compaction_schedule.h"
+#include "storage/finished_references.h"
 #include "storage/journal.h"
 #include "storage/live_messages.h"
 #include "storage/record_codec.h"
@@ -32,10 +33,14 @@
 // thread. Functions that write throw std::system_error if the journal cannot be used any more.
 class MessageStore {
  public:
-  // `names` must outlive the store. `maxBytes` limits the total size of all files in `folder`. Throws as the
+  static constexpr std::size_t kDefaultFinishedReferenceBytes = std::size_t{1024} * 1024;
+
+  // `names` must outlive the store. `maxBytes` limits the total size of all files in `folder`, and
+  // `maxFinishedReferenceBytes` the memory for the references of messages that have ended. Throws as the
   // constructor of Journal does.
   MessageStore(const NameTables& names, const std::string& folder, std::size_t maxBytes,
-               JournalWriter writer = JournalWriter::callingThread);
+               JournalWriter writer = JournalWriter::callingThread,
+               std::size_t maxFinishedReferenceBytes = kDefaultFinishedReferenceBytes);
 
   // Restores the state that an earlier process left in the journal. Must be called once, before all other
   // functions. Returns the length in bytes of an incomplete record that was removed from the end of the
@@ -61,6 +66,9 @@
   void recordNotExecuted(MessageId id, int attempt);
   // Records that the message is finished and needs no notification.
   void recordDelivered(MessageId id);
+  // Records that the message was withdrawn: no client knows that it was accepted, and it was not executed. It
+  // counts as never accepted, and the same reference may be accepted again.
+  void recordWithdrawn(MessageId id);
   // Records that the message is finished and the platform is to be notified. `retryAfter` is in milliseconds;
   // 0 means that the notification advises no time.
   void addPendingNotification(MessageId id, FinalOutcome result, Millis retryAfter);
@@ -99,11 +107,20 @@
   bool contains(std::string_view reference) const { return live_.contains(reference); }
   // The id of a message in flight, by its reference.
   MessageId idOf(const std::string& reference) const { return live_.idOf(reference); }
+  // How the message with this reference ended, if it may have been executed and is still remembered.
+  std::optional<ExecutedOutcome> finishedOutcomeOf(std::string_view reference) const {
+    return finished_.find(reference);
+  }
   const std::map<MessageId, StoredMessage>& inFlight() const { return live_.messages(); }
   const std::map<MessageId, OutcomeNotification>& pendingNotifications() const {
     return live_.notifications();
   }
 
+  // The memory that messages in flight and pending notifications occupy in the whole process, in bytes.
+  std::size_t memoryBytes() const { return live_.memoryBytes(); }
+  // What the messages in flight of one client connection amount to.
+  SubmitterUsage usageOf(SubmitterId submitter) const { return live_.usageOf(submitter); }
+
   // The number of accepted messages that have finished since the start, with any outcome.
   std::size_t finishedCount() const { return finishedCount_; }
   // Milliseconds for which writing has blocked this thread so far.
@@ -116,11 +133,6 @@
   // A record that was appended to the journal but not yet written by a finished commit.
   struct UncommittedRecord {
     RecordTag tag{};
-  // The memory that messages in flight and pending notifications occupy in the whole process, in bytes.
-  std::size_t memoryBytes() const { return live_.memoryBytes(); }
-  // What the messages in flight of one client connection amount to.
-  SubmitterUsage usageOf(SubmitterId submitter) const { return live_.usageOf(submitter); }
-
     MessageId message{};
     std::optional<int> attempt{};  // the attempt's number, for RecordTag::attempted
     // The record, in case the compacted file needs a copy of it. Empty if no compaction was in progress, or
@@ -138,6 +150,7 @@
   bool makeSpace(std::size_t bytes);
   bool hasSpace(std::size_t bytes) const;
   void finishMessage(MessageId id);
+  void rememberExecuted(MessageId id, ExecutedOutcome outcome);
 
   void completeCommit();
   void commitOnce();
@@ -154,6 +167,7 @@
   Journal journal_;
   CompactionSchedule schedule_;
   LiveMessages live_;
+  FinishedReferences finished_;
   std::uint32_t nextId_{1};
   std::size_t finishedCount_{0};
 
--- /dev/null
+++ b/tests/storage/finished_references_test.cpp
@@ -0,0 +1,33 @@
+#include "storage/finished_references.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace stonewing::testing {
+namespace {
+
+TEST(FinishedReferences, RemembersTheLatestAndForgetsTheOldestBeyondItsMemory) {
+  constexpr std::size_t kMaxBytes = 10'000;
+  FinishedReferences references(kMaxBytes);
+  for (int n = 0; n < 1000; ++n) {
+    references.add("m-" + std::to_string(n),
+                   n % 2 == 0 ? ExecutedOutcome::delivered : ExecutedOutcome::failed);
+    EXPECT_LE(references.memoryBytes(), kMaxBytes);
+  }
+  EXPECT_EQ(references.find("m-998"), ExecutedOutcome::delivered);
+  EXPECT_EQ(references.find("m-999"), ExecutedOutcome::failed);
+  EXPECT_EQ(references.find("m-0"), std::nullopt);
+}
+
+TEST(FinishedReferences, CountsAReferenceOnceAndKeepsItsLatestOutcome) {
+  FinishedReferences references(10'000);
+  references.add("m", ExecutedOutcome::failed);
+  const std::size_t bytes = references.memoryBytes();
+  references.add("m", ExecutedOutcome::delivered);
+  EXPECT_EQ(references.find("m"), ExecutedOutcome::delivered);
+  EXPECT_EQ(references.memoryBytes(), bytes);
+}
+
+}  // namespace
+}  // namespace stonewing::testing
