Endpoints: a process that started later is not taken for the one before it

Cause: started_ms of discovery's entries was not read. A connection that was opened to a process, or rested, was used for the next one at the same address; an attempt that had been assigned to a connection was written although its endpoint had moved meanwhile; and an endpoint that discovery still listed at an address kept getting requests there although a later process, of another endpoint, was listed at the same address.

Now a process is its address and its start. A connection carries requests only to the process that it was opened to, asked when it is chosen, when it comes up and right before the first byte; and of the endpoints listed at one address only those with the latest start count, the others are removed. Equal starts, 0 among them, decide nothing.

What remains: until discovery names the new process nobody can tell it from the old one by its address.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -84,6 +84,10 @@
 // may be draining or may have sent a Retry-After, or the deduplication window of a retry may have ended. Such
 // attempts are not sent. Returns false if none is left, and the connection was released.
 bool AttemptSender::prepareRequest(EndpointConnection& connection) {
+  if (!leadsToItsEndpoint(connection)) {
+    finishAllAndRelease(connection, AttemptOutcome::notSent, CloseCause::notSent);
+    return false;
+  }
   for (BatchedAttempt& attempt : connection.attempts()) {
     if (attempt.isFinished() || policy_.mayStartAttempt(attempt.message, attempt.attempt)) continue;
     finishAttempt(connection, attempt, {AttemptOutcome::notSent});
@@ -161,10 +165,17 @@
                       isNewConnection ? CloseCause::connectFailed : CloseCause::notSent);
 }
 
+// Whether the process that the connection was opened to is still that of its endpoint. Another one may listen
+// at the address by now, for another destination or without the memory of what the first has executed.
+bool AttemptSender::leadsToItsEndpoint(const EndpointConnection& connection) const {
+  return ConnectionPool::isToProcessOf(connection, discovery_.find(connection.endpoint()));
+}
+
 // Whether the request may still be sent after the journal was written. A slow journal write may have delayed
 // the request. Without this check, the request could reach an endpoint that is draining by now or has sent a
 // Retry-After, or could be sent after the deduplication window of a retry.
 bool AttemptSender::isStillSendable(const EndpointConnection& connection) const {
+  if (!leadsToItsEndpoint(connection)) return false;
   if (loop_.now() <= connection.readyAt()) return true;  // not delayed
   return std::all_of(
       connection.attempts().begin(), connection.attempts().end(), [this](const BatchedAttempt& attempt) {
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -92,6 +92,7 @@
   void cancelUnsentOn(EndpointConnection& connection, MessageId message);
   void sendRequest(EndpointConnection& connection);
   void abandonUnusable(EndpointConnection& connection);
+  bool leadsToItsEndpoint(const EndpointConnection& connection) const;
   bool isStillSendable(const EndpointConnection& connection) const;
   void recordDelayedSend(EndpointConnection& connection);
   void writeRequest(EndpointConnection& connection);
--- a/src/delivery/connection_pool.cpp
+++ b/src/delivery/connection_pool.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstring>
 #include <iterator>
 #include <utility>
 #include <vector>
@@ -69,9 +68,12 @@
 }
 
 bool ConnectionPool::canReuse(const EndpointConnection& connection, const DiscoveredEndpoint* target) const {
-  bool hasMoved = target != nullptr &&
-                  std::memcmp(&connection.address_, &target->address, sizeof connection.address_) != 0;
-  return loop_.now() < idleDeadline(connection) && !hasMoved && connection.isReusable();
+  bool mayLeadToTarget = target == nullptr || isToProcessOf(connection, target);
+  return loop_.now() < idleDeadline(connection) && mayLeadToTarget && connection.isReusable();
+}
+
+bool ConnectionPool::isToProcessOf(const EndpointConnection& connection, const DiscoveredEndpoint* target) {
+  return target != nullptr && connection.process_ == target->process;
 }
 
 EndpointConnection& ConnectionPool::acquire(EndpointId endpoint, const DiscoveredEndpoint* target,
@@ -99,8 +101,8 @@
     connection.setStartFailure(EndpointConnection::StartFailure::localResources);
     return connection;
   }
-  connection.address_ = target->address;
-  if (!connection.open(target->address)) {
+  connection.process_ = target->process;
+  if (!connection.open(target->process.address)) {
     connection.setStartFailure(connection.isOutOfResources()
                                    ? EndpointConnection::StartFailure::localResources
                                    : EndpointConnection::StartFailure::refused);
--- a/src/delivery/connection_pool.h
+++ b/src/delivery/connection_pool.h
@@ -64,6 +64,10 @@
   // Releases all idle connections to an endpoint.
   void closeIdle(EndpointId endpoint, CloseCause cause);
 
+  // Whether the connection was opened to the process that `target`, the endpoint's entry in discovery, names
+  // now. False if the endpoint is not listed (nullptr).
+  static bool isToProcessOf(const EndpointConnection& connection, const DiscoveredEndpoint* target);
+
   // Updates the index entries of a connection. Must be called after a change on which its due time depends.
   void update(EndpointConnection& connection);
   // Removes a connection from all indexes until update() or release(): it is never due meanwhile.
--- a/src/delivery/endpoint_connection.h
+++ b/src/delivery/endpoint_connection.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "delivery/close_cause.h"
+#include "discovery/discovered_endpoint.h"
 #include "net/http_client_connection.h"
 
 namespace stonewing {
@@ -133,7 +134,7 @@
 
   // Changed only by the pool.
   std::uint64_t number_{0};
-  sockaddr_in address_{};
+  EndpointProcess process_;
   bool isHealthCheck_{false};  // the pool counts the health checks in flight
   Millis lastUsedAt_{0};       // part of the key in the pool's two idle indexes
   Millis reusableAt_{0};
--- a/src/discovery/endpoint_directory.cpp
+++ b/src/discovery/endpoint_directory.cpp
@@ -3,9 +3,18 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace stonewing {
+namespace {
+
+std::pair<in_addr_t, in_port_t> addressOf(const DiscoveredEndpoint& endpoint) {
+  const sockaddr_in& address = endpoint.process.address;
+  return {address.sin_addr.s_addr, address.sin_port};
+}
+
+}  // namespace
 
 const DiscoveredEndpoint* EndpointDirectory::find(EndpointId id) const {
   auto found = endpoints_.find(id);
@@ -23,6 +32,7 @@
 
 void EndpointDirectory::applyList(const EndpointList& list, AbsentEndpoints absentEndpoints) {
   std::vector<ListedEndpoint> entries = usableEntries(list);
+  removeSuperseded(entries);
   if (list.extent == ListExtent::changes && entries.empty()) return;
   policy_.beginEndpointList();
   for (const ListedEndpoint& listed : entries) addListed(listed, list.version);
@@ -61,6 +71,40 @@
   return entries;
 }
 
+// An endpoint whose address belongs to a process that was started later, for another endpoint, has gone: its
+// requests would reach that process. Discovery may not have noticed yet.
+void EndpointDirectory::removeSuperseded(std::vector<ListedEndpoint>& entries) const {
+  std::set<std::string> listedNames;
+  for (const ListedEndpoint& entry : entries) listedNames.insert(entry.endpoint.record.name);
+  std::vector<ListedEndpoint> others;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (listedNames.contains(endpoint.record.name) || stateOf(id) == EndpointState::removed) continue;
+    others.push_back({endpoint, policy_.state().endpoints.at(id).weight, stateOf(id)});
+  }
+
+  std::map<std::pair<in_addr_t, in_port_t>, Millis> latestStart;
+  auto recordStart = [&](const ListedEndpoint& entry) {
+    if (entry.state == EndpointState::removed) return;
+    Millis& latest = latestStart[addressOf(entry.endpoint)];
+    latest = std::max(latest, entry.endpoint.process.startedWall);
+  };
+  std::for_each(entries.begin(), entries.end(), recordStart);
+  std::for_each(others.begin(), others.end(), recordStart);
+  auto isSuperseded = [&](const ListedEndpoint& entry) {
+    auto latest = latestStart.find(addressOf(entry.endpoint));
+    return latest != latestStart.end() && entry.endpoint.process.startedWall < latest->second;
+  };
+
+  for (ListedEndpoint& entry : entries) {
+    if (isSuperseded(entry)) entry.state = EndpointState::removed;
+  }
+  for (ListedEndpoint& other : others) {
+    if (!isSuperseded(other)) continue;
+    other.state = EndpointState::removed;
+    entries.push_back(std::move(other));
+  }
+}
+
 // Returns an entry with the present data of the endpoint that an unusable entry names; no value if the
 // endpoint is unknown. The state is taken from the unusable entry if that drains or removes the endpoint.
 std::optional<ListedEndpoint> EndpointDirectory::previousEntry(const UnusableEntry& unusable) const {
--- a/src/discovery/endpoint_directory.h
+++ b/src/discovery/endpoint_directory.h
@@ -46,6 +46,7 @@
 
  private:
   std::vector<ListedEndpoint> usableEntries(const EndpointList& list) const;
+  void removeSuperseded(std::vector<ListedEndpoint>& entries) const;
   void addListed(const ListedEndpoint& listed, std::int64_t version);
   EndpointState stateOf(EndpointId id) const;
   std::optional<ListedEndpoint> previousEntry(const UnusableEntry& unusable) const;
--- a/src/discovery/endpoint_list_parser.cpp
+++ b/src/discovery/endpoint_list_parser.cpp
@@ -38,6 +38,13 @@
   return DestinationId{static_cast<std::uint16_t>(cell)};
 }
 
+// 0 if the entry states none, or one that cannot be read: the entry is usable without it.
+Millis startTimeOf(const json& entry) {
+  auto found = entry.find("started_ms");
+  if (found == entry.end() || !found->is_number()) return 0;
+  return found->get<Millis>();
+}
+
 ListedEndpoint parseEntry(const json& entry, const NameTables& names) try {
   ListedEndpoint listed;
   EndpointRecord& record = listed.endpoint.record;
@@ -47,7 +54,7 @@
   auto address = parseAddress(listed.endpoint.authority);
   if (!address)
     throw ParseError("addr is not an IPv4 address with a port in the entry of endpoint " + record.name);
-  listed.endpoint.address = *address;
+  listed.endpoint.process = {*address, startTimeOf(entry)};
   record.zone = idOfName<ZoneId>(names.zones, entry.at("zone").get<std::string>());
   record.kind = idOfName<KindId>(names.kinds, entry.at("kind").get<std::string>());
   record.destination = parseDestination(entry, record.name);
--- a/tests/support/attempt_sender_harness.h
+++ b/tests/support/attempt_sender_harness.h
@@ -86,11 +86,29 @@
   }
 
   // Applies a discovery event with the endpoint in the given state, at the address of the listener.
-  void setEndpoint(const std::string& state) {
-    discovery.applyAnswer(nlohmann::json::parse(
-        R"({"version":1,"full":false,"servers":[{"id":"s-1","addr":"127.0.0.1:)" +
-        std::to_string(localPort(listener)) + R"(","zone":"a","kind":"many","cell":7,"state":")" + state +
-        R"(","weight":1.0,"started_ms":0}]})"));
+  void setEndpoint(const std::string& state, int startedMs = 0) {
+    applyEntries({entryAtListener("s-1", 7, state, startedMs)});
+  }
+
+  // An entry of an endpoint at the address of the listener.
+  std::string entryAtListener(const std::string& name, int destination, const std::string& state,
+                              int startedMs) const {
+    return R"({"id":")" + name + R"(","addr":"127.0.0.1:)" + std::to_string(localPort(listener)) +
+           R"(","zone":"a","kind":"many","cell":)" + std::to_string(destination) + R"(,"state":")" + state +
+           R"(","weight":1.0,"started_ms":)" + std::to_string(startedMs) + "}";
+  }
+
+  // Applies a discovery event with these entries.
+  void applyEntries(const std::vector<std::string>& entries) {
+    std::string list;
+    for (const std::string& entry : entries) list += (list.empty() ? "" : ",") + entry;
+    discovery.applyAnswer(nlohmann::json::parse(R"({"version":1,"full":false,"servers":[)" + list + "]}"));
+  }
+
+  EndpointState stateOf(const std::string& endpoint) {
+    const auto& endpoints = policy.state().endpoints;
+    auto found = endpoints.find(discovery.idOf(endpoint));
+    return found == endpoints.end() ? EndpointState::removed : found->second.state;
   }
 
   // Accepts a message of a traffic type of the settings, with a deadline `untilDeadline` milliseconds from
