Endpoints: the memory of responses is bounded over all connections, and given back

Responses may now occupy a tenth of limits.memory_mb together (MemoryBudget). Beyond that an incomplete response of over 4 KiB counts as malformed, so that who sends much loses first; ordinary responses are read all the same. A connection at rest gives a large response's memory back.

The testbed's admission scenario names the fields that it sets, since there are more of them.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -29,7 +29,7 @@
 
 AttemptSender::AttemptSender(EventLoop& loop, DispatchPolicy& policy, MessageStore& store,
                              const DiscoveryClient& discovery, const DeploymentSettings& settings,
-                             const NameTables& names, std::size_t maxConnections, std::size_t maxHealthChecks)
+                             const NameTables& names, ConnectionLimits limits)
     : loop_(loop),
       policy_(policy),
       store_(store),
@@ -39,7 +39,7 @@
       recorder_(loop, policy, store, names, log_),
       confirmer_(loop, policy, store, recorder_, log_),
       requestJournal_(store, discovery),
-      pool_(loop, *this, policy, settings, names, {maxConnections, maxHealthChecks}, log_) {}
+      pool_(loop, *this, policy, settings, names, limits, log_) {}
 
 void AttemptSender::sendAttempt(const SendAttempt& decision) {
   const StoredMessage* message = store_.find(decision.message);
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -37,11 +37,11 @@
 // Must be used on the event loop's thread only. Times are milliseconds of the event loop's clock.
 class AttemptSender : public HttpClientConnection::Observer {
  public:
-  // All references must outlive the sender. maxHealthChecks limits the health checks in flight, so that
-  // health checks and concurrent requests together stay within maxConnections.
+  // All references must outlive the sender. limits.maxHealthChecks limits the health checks in flight, so
+  // that health checks and concurrent requests together stay within limits.maxConnections.
   AttemptSender(EventLoop& loop, DispatchPolicy& policy, MessageStore& store,
                 const DiscoveryClient& discovery, const DeploymentSettings& settings, const NameTables& names,
-                std::size_t maxConnections, std::size_t maxHealthChecks);
+                ConnectionLimits limits);
   AttemptSender(const AttemptSender&) = delete;
   AttemptSender& operator=(const AttemptSender&) = delete;
 
--- a/src/delivery/connection_pool.cpp
+++ b/src/delivery/connection_pool.cpp
@@ -26,7 +26,8 @@
       policy_(policy),
       connectTimeout_(names.connectTimeout > 0 ? names.connectTimeout : kNever),
       limits_(limits),
-      log_(log) {
+      log_(log),
+      responseMemory_(limits.maxResponseMemoryBytes) {
   if (settings.connectionIdleTimeout > 0) maxIdleTime_ = settings.connectionIdleTimeout;
   // A request that is written near the end of the idle time may cross with the endpoint's close of the
   // connection. It would end as a reset, which does not prove whether the request was executed. So a
@@ -92,7 +93,8 @@
 }
 
 EndpointConnection& ConnectionPool::open(EndpointId endpoint, const DiscoveredEndpoint* target) {
-  connections_.push_back(std::make_unique<EndpointConnection>(loop_, observer_, kMaxResponseBytes, endpoint));
+  connections_.push_back(
+      std::make_unique<EndpointConnection>(loop_, observer_, kMaxResponseBytes, responseMemory_, endpoint));
   EndpointConnection& connection = *connections_.back();
   connection.position_ = std::prev(connections_.end());
   connection.number_ = ++lastNumber_;
--- a/src/delivery/connection_pool.h
+++ b/src/delivery/connection_pool.h
@@ -18,10 +18,12 @@
 // A time that never comes, in milliseconds.
 inline constexpr Millis kNever = 1e15;
 
-// The limits on the pool's use of the process' descriptors.
+// The limits on the pool's use of the process' descriptors and memory.
 struct ConnectionLimits {
   std::size_t maxConnections{};   // at this number, a new connection replaces an idle one
   std::size_t maxHealthChecks{};  // health checks in flight
+  // The memory of the responses of all connections, in bytes.
+  std::size_t maxResponseMemoryBytes{};
 };
 
 // Owns the connections to all endpoints, and knows when each of them needs attention next.
@@ -133,6 +135,7 @@
   Millis lastReusableIdleTime_{kNever};  // at the last call of followReusableIdleTime()
   ConnectionLimits limits_;
   DeliveryLog& log_;
+  MemoryBudget responseMemory_;
   std::uint64_t lastNumber_{0};
   std::size_t healthChecksInFlight_{0};
   std::list<std::unique_ptr<EndpointConnection>> connections_;
--- a/src/delivery/endpoint_connection.h
+++ b/src/delivery/endpoint_connection.h
@@ -47,8 +47,9 @@
     localResources
   };
 
-  EndpointConnection(EventLoop& loop, Observer& observer, std::size_t maxResponseBytes, EndpointId endpoint)
-      : HttpClientConnection(loop, observer, maxResponseBytes), endpoint_(endpoint) {}
+  EndpointConnection(EventLoop& loop, Observer& observer, std::size_t maxResponseBytes, MemoryBudget& budget,
+                     EndpointId endpoint)
+      : HttpClientConnection(loop, observer, maxResponseBytes, &budget), endpoint_(endpoint) {}
 
   EndpointId endpoint() const { return endpoint_; }
   // The number of this connection among all of the process, from 1; it identifies the connection in the log.
--- a/src/dispatcher/dispatcher.cpp
+++ b/src/dispatcher/dispatcher.cpp
@@ -16,6 +16,8 @@
 // again for what lies between them.
 constexpr std::size_t kMessageMemoryDivisor = 3;
 constexpr std::size_t kFinishedReferenceMemoryDivisor = 64;
+// Responses of all endpoints may use a tenth of it.
+constexpr std::size_t kResponseMemoryDivisor = 10;
 // If at least this many clients wait for replies, the journal is written before the decisions of the turn, so
 // that the replies need not wait for these decisions. Otherwise the accepted messages and the attempts of the
 // turn share one write of the journal.
@@ -51,8 +53,10 @@
       discovery_(loop_, policy_, names_, requireAddress(config_.discoveryAddress, "discovery"),
                  config_.discoveryAddress, config_.seed + kDiscoverySeedOffset,
                  pollTiming(settings_.discoveryKind, settings_.drainGrace)),
-      sender_(loop_, policy_, store_, discovery_, settings_, names_, descriptors_.endpointConnections,
-              descriptors_.healthChecks),
+      sender_(loop_, policy_, store_, discovery_, settings_, names_,
+              {.maxConnections = descriptors_.endpointConnections,
+               .maxHealthChecks = descriptors_.healthChecks,
+               .maxResponseMemoryBytes = config_.maxMemoryBytes / kResponseMemoryDivisor}),
       notifier_(loop_, store_, requireAddress(config_.discoveryAddress, "discovery"),
                 config_.discoveryAddress),
       turnMonitor_(loop_, store_),
--- a/src/lab/admission_scenario.cpp
+++ b/src/lab/admission_scenario.cpp
@@ -51,9 +51,15 @@
 class DispatcherAdmission final : public AdmissionStrategy {
  public:
   explicit DispatcherAdmission(std::uint64_t seed)
-      : admission_({kMaxInFlight, true, kMaxRetryAfter, 1, 0.05}, seed) {}
+      : admission_({.maxInFlight = kMaxInFlight,
+                    .mayAdviseRetryAfter = true,
+                    .maxRetryAfter = kMaxRetryAfter,
+                    .maxPriorityWeight = 1,
+                    .overQuotaWeightShare = 0.05},
+                   seed) {}
   Verdict decide(Millis now, Millis, int inFlight, Millis turnWork) override {
-    AdmissionDecision decision = admission_.decide({now, inFlight, 0, 0, turnWork}, 1, false);
+    AdmissionDecision decision =
+        admission_.decide({.now = now, .messagesInFlight = inFlight, .workThisTurn = turnWork}, 1, false);
     return {decision.accepted, decision.retryAfter};
   }
   void recordTurn(Millis now, Millis turnWork, std::size_t) override { admission_.recordTurn(now, turnWork); }
--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -6,9 +6,15 @@
 
 #include <cerrno>
 
+#include "base/release_memory.h"
+
 namespace stonewing {
 namespace {
 
+// A response of up to this size is read even if the budget is exceeded, and its memory is kept for the next
+// one.
+constexpr std::size_t kOrdinaryResponseBytes = std::size_t{4} * 1024;
+
 int makeSocket() { return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0); }
 
 bool isEnded(ReadResult result) { return result == ReadResult::endOfStream || result == ReadResult::broken; }
@@ -108,6 +114,7 @@
 
 void HttpClientConnection::read(StreamEnd streamEnd) {
   ReadResult result = readAvailable(socket_.get(), received_, maxResponseBytes_, streamEnd);
+  updateMemory();
   if (!isBusy_) return readIdle(result);
   if (received_.empty() && !isEnded(result)) return;
   HttpResponseParser::Progress progress = parseReceived(result);
@@ -133,7 +140,7 @@
   // more bytes than allowed.
   bool isTooLong = parser_.announcedLength() > maxResponseBytes_ ||
                    (result == ReadResult::more && received_.size() >= maxResponseBytes_);
-  if (progress == HttpResponseParser::Progress::needsMore && isTooLong) {
+  if (progress == HttpResponseParser::Progress::needsMore && (isTooLong || isOverBudget())) {
     return HttpResponseParser::Progress::malformed;
   }
   return progress;
@@ -147,6 +154,24 @@
   isBusy_ = false;
   ++exchangeCount_;
   observer_.onResponse(*this);
+  // The memory of a large response would otherwise be kept for as long as the connection rests.
+  if (!isBusy_ && received_.capacity() > kOrdinaryResponseBytes) releaseReceived();
+}
+
+bool HttpClientConnection::isOverBudget() const {
+  return budget_ != nullptr && budget_->isExceeded() && received_.size() > kOrdinaryResponseBytes;
+}
+
+void HttpClientConnection::updateMemory() {
+  const std::size_t before = std::exchange(memoryBytes_, received_.capacity());
+  if (budget_ != nullptr) budget_->change(before, memoryBytes_);
+}
+
+void HttpClientConnection::releaseReceived() {
+  releaseMemory(received_);
+  parser_ = {};
+  const std::size_t before = std::exchange(memoryBytes_, 0);
+  if (budget_ != nullptr) budget_->change(before, 0);
 }
 
 }  // namespace stonewing
--- a/src/net/http_client_connection.h
+++ b/src/net/http_client_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "base/memory_budget.h"
 #include "net/event_loop.h"
 #include "net/http_response_parser.h"
 #include "net/number_parsing.h"
@@ -50,10 +51,20 @@
     virtual void onBroken(HttpClientConnection& connection) = 0;
   };
 
-  // The loop and the observer must outlive the connection. A response longer than `maxResponseBytes` counts
-  // as malformed, and the connection is closed.
-  HttpClientConnection(EventLoop& loop, Observer& observer, std::size_t maxResponseBytes)
-      : loop_(loop), observer_(observer), maxResponseBytes_(maxResponseBytes), socket_(loop) {}
+  // The loop, the observer and the budget must outlive the connection. A response longer than
+  // `maxResponseBytes` counts as malformed, and the connection is closed. `budget`, which may be null, is for
+  // the responses of several connections: while it is exceeded, an incomplete response that is longer than an
+  // ordinary one counts as malformed too.
+  HttpClientConnection(EventLoop& loop, Observer& observer, std::size_t maxResponseBytes,
+                       MemoryBudget* budget = nullptr)
+      : loop_(loop),
+        observer_(observer),
+        maxResponseBytes_(maxResponseBytes),
+        budget_(budget),
+        socket_(loop) {}
+  ~HttpClientConnection() override { releaseReceived(); }
+  HttpClientConnection(const HttpClientConnection&) = delete;
+  HttpClientConnection& operator=(const HttpClientConnection&) = delete;
 
   // Closes the connection, which may be in the middle of its own event, and destroys it after this turn. Has
   // no effect on an empty pointer.
@@ -125,10 +136,15 @@
   HttpResponseParser::Progress parseReceived(ReadResult result);
   void finishExchange(ReadResult result);
   void fail(ConnectionFailure failure);
+  bool isOverBudget() const;
+  void updateMemory();
+  void releaseReceived();
 
   EventLoop& loop_;
   Observer& observer_;
   std::size_t maxResponseBytes_;
+  MemoryBudget* budget_;
+  std::size_t memoryBytes_{0};  // of received_, as last reported to the budget
   WatchedDescriptor socket_;
   bool isConnected_{false};
   bool isBusy_{false};
--- a/tests/support/attempt_sender_harness.h
+++ b/tests/support/attempt_sender_harness.h
@@ -70,7 +70,13 @@
                             "nowhere",
                             1,
                             pollTiming(DiscoveryKind::localAgent, 500)};
-  AttemptSender sender{loop, policy, store, discovery, settings, names, 64, 8};
+  AttemptSender sender{loop,
+                       policy,
+                       store,
+                       discovery,
+                       settings,
+                       names,
+                       {.maxConnections = 64, .maxHealthChecks = 8, .maxResponseMemoryBytes = 1'000'000}};
   std::string received;  // bytes received by the endpoint
   std::map<std::string, MessageId> ids;
   bool executesCancellations{false};  // whether cancellations decided by the policy are executed
