--- a/src/storage/journal.cpp
+++ b/src/storage/journal.cpp
@@ -44,11 +44,10 @@
 }
 
 std::size_t Journal::replay(const std::function<void(std::string_view)>& visitRecord) {
-  const std::string bytes = readWholeFile(file_->get());
-  JournalContents contents = scanJournal(bytes, path_, visitRecord);
+  const JournalContents contents = scanJournal(file_->get(), path_, visitRecord);
   version_ = contents.version;
   writtenBytes_ = contents.readableBytes;
-  std::size_t tornBytes = bytes.size() - contents.readableBytes;
+  const std::size_t tornBytes = contents.fileBytes - contents.readableBytes;
   if (tornBytes > 0 && ::ftruncate(file_->get(), static_cast<off_t>(contents.readableBytes)) != 0) {
     throw std::system_error(errno, std::generic_category(),
                             "cannot truncate the incomplete record at the end of the journal");
--- a/src/storage/journal_format.h
+++ b/src/storage/journal_format.h
@@ -26,19 +26,18 @@
 // Appends one record in its frame to `destination`.
 void appendJournalFrame(std::string& destination, JournalVersion version, std::string_view record);
 
-// Reads a file from its current position to its end. Throws std::system_error if a read fails.
-std::string readWholeFile(int descriptor);
-
 // The result of scanning a journal file.
 struct JournalContents {
   JournalVersion version{JournalVersion::second};  // in which to append further records
   std::size_t readableBytes{0};  // header and whole records; an incomplete record may follow
+  std::size_t fileBytes{0};      // the whole file
 };
 
-// Calls `visitRecord` for each whole record in `bytes`, in order, and stops at the first record that is cut
-// short or does not match its checksum. The view is valid during the call only. Throws JournalError with
-// `path` in its text, before any record is visited, if this program does not know the file's version.
-JournalContents scanJournal(std::string_view bytes, const std::string& path,
+// Calls `visitRecord` for each whole record of a file, in order, and stops at the first record that is cut
+// short or does not match its checksum. The view is valid during the call only; a part of the file is in
+// memory at a time. Throws JournalError with `path` in its text, before any record is visited, if this
+// program does not know the file's version, and std::system_error if a read fails.
+JournalContents scanJournal(int descriptor, const std::string& path,
                             const std::function<void(std::string_view)>& visitRecord);
 
 }  // namespace stonewing
--- a/tests/storage/journal_test.cpp
+++ b/tests/storage/journal_test.cpp
@@ -101,5 +101,25 @@
   }
 }
 
+// A folder may allow a journal that is many times larger than the memory of the process, which read it whole.
+TEST(Journal, IsReadPieceByPiece) {
+  TemporaryDirectory folder;
+  constexpr int kRecords = 400;
+  constexpr std::size_t kMaxBytes = 100'000'000;
+  auto recordOf = [](int number) {
+    return std::to_string(number) + std::string(static_cast<std::size_t>(number) * 197 % 70'000, 'x');
+  };
+  {
+    Journal journal(folder.path.string(), kMaxBytes);
+    journal.replay([](std::string_view) {});
+    for (int n = 0; n < kRecords; ++n) ASSERT_TRUE(journal.append(recordOf(n)));
+    EXPECT_TRUE(journal.commit().empty());
+  }
+  Journal journal(folder.path.string(), kMaxBytes);
+  int read = 0;
+  EXPECT_EQ(journal.replay([&](std::string_view record) { EXPECT_EQ(record, recordOf(read++)); }), 0u);
+  EXPECT_EQ(read, kRecords);
+}
+
 }  // namespace
 }  // namespace stonewing::testing
