--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -57,8 +57,8 @@
   switch (reason) {
     case RejectionReason::none:
       return "none";
-    case RejectionReason::overShare:
-      return "over_share";
+    case RejectionReason::aboveFairShare:
+      return "above_fair_share";
     case RejectionReason::tooManyInFlight:
       return "too_many_in_flight";
     case RejectionReason::outOfMemory:
@@ -120,7 +120,7 @@
 
 // Below the limits, the clients that use most of what they limit are rejected first, and the largest
 // messages.
-bool AdmissionController::isOverShare(const AdmissionInputs& inputs) const {
+bool AdmissionController::isAboveFairShare(const AdmissionInputs& inputs) const {
   const int freeMessages = settings_.maxInFlight - inputs.messagesInFlight;
   if (inputs.clientMessages > kMaxMultipleOfFreeMessages * freeMessages) return true;
   if (settings_.maxMessageBytes == 0) return false;
@@ -159,8 +159,9 @@
                                               bool overQuota) {
   double quotaShare = overQuota ? settings_.overQuotaWeightShare : 1;
   double relativeWeight = priorityWeight / std::max(kMinDivisor, settings_.maxPriorityWeight) * quotaShare;
-  const Pressure current =
-      isOverShare(inputs) ? Pressure{kOutOfCapacityPressure, RejectionReason::overShare} : pressure(inputs);
+  const Pressure current = isAboveFairShare(inputs)
+                               ? Pressure{kOutOfCapacityPressure, RejectionReason::aboveFairShare}
+                               : pressure(inputs);
   if (current.value <= 0) return {};
   // The messages of the highest weight are rejected last.
   if (current.value < 1 && relativeWeight > current.value) return {};
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -40,7 +40,7 @@
 // Why a message is rejected.
 enum class RejectionReason {
   none,             // it is accepted
-  overShare,        // its client, or the message, would take too much of what is still free
+  aboveFairShare,   // its client, or the message, would take too much of what is still free
   tooManyInFlight,  // the limit of messages in flight is reached
   outOfMemory,      // the limit of their memory is reached
   loopBehind,       // the event loop falls behind
@@ -97,7 +97,7 @@
     void add(Millis now);
   };
 
-  bool isOverShare(const AdmissionInputs& inputs) const;
+  bool isAboveFairShare(const AdmissionInputs& inputs) const;
   double decayedTurnWork(Millis now) const;
   Millis expectedWait(Millis now, Millis journalWriteAge) const;
   Millis drawRetryAfter(Millis now, Millis journalWriteAge);
--- a/src/dispatcher/command_handler.cpp
+++ b/src/dispatcher/command_handler.cpp
@@ -17,8 +17,8 @@
 // To a message that has failed and may have been executed. It is no error of the client, which may go on.
 constexpr const char* kFailedReply = "-FAILED the message has ended, and may have been executed\r\n";
 constexpr Millis kNoRetryAfter = 0;
-constexpr double kRefusalLinesPerSecond = 10;
-constexpr double kRefusalLineBurst = 100;
+constexpr double kRejectionLinesPerSecond = 10;
+constexpr double kRejectionLineBurst = 100;
 constexpr std::size_t kPingWords = 1;
 constexpr std::size_t kSubmitWords = 5;  // SUBMIT, ordering key, message id, field list, body
 
@@ -41,7 +41,7 @@
       store_(dependencies.store),
       policy_(dependencies.policy),
       unacknowledged_(dependencies.unacknowledged),
-      refusalLines_(kRefusalLinesPerSecond, kRefusalLineBurst) {}
+      rejectionLines_(kRejectionLinesPerSecond, kRejectionLineBurst) {}
 
 RespServer::CommandReply CommandHandler::handle(const std::vector<std::string_view>& words,
                                                 CommandSource source) {
@@ -75,21 +75,21 @@
   if (source.side == ClientSide::closed || !lifecycle_.mayAcceptMessages()) return {busyReply(kNoRetryAfter)};
   const AdmissionDecision admission = decideAdmission(message);
   if (!admission.accepted) {
-    logRefused(message, admission.reason);
+    logRejected(message, admission.reason);
     return {busyReply(admission.retryAfter)};
   }
   return accept(std::move(message), receivedWall);
 }
 
-void CommandHandler::logRefused(const StoredMessage& message, RejectionReason reason) {
-  if (!refusalLines_.allow(loop_.now())) return;
-  log::info("message.refused", {{"message", message.reference},
-                                {"reason", nameOf(reason)},
-                                {"client", message.submitter},
-                                {"in_flight", policy_.state().messagesInFlight},
-                                {"message_bytes", store_.memoryBytes()},
-                                {"turn_work_ms", turnMonitor_.workThisTurn()},
-                                {"suppressed", refusalLines_.takeSuppressed()}});
+void CommandHandler::logRejected(const StoredMessage& message, RejectionReason reason) {
+  if (!rejectionLines_.allow(loop_.now())) return;
+  log::info("message.rejected", {{"message", message.reference},
+                                 {"reason", nameOf(reason)},
+                                 {"client", message.submitter},
+                                 {"in_flight", policy_.state().messagesInFlight},
+                                 {"message_bytes", store_.memoryBytes()},
+                                 {"turn_work_ms", turnMonitor_.workThisTurn()},
+                                 {"suppressed", rejectionLines_.takeSuppressed()}});
 }
 
 AdmissionDecision CommandHandler::decideAdmission(const StoredMessage& message) {
--- a/src/dispatcher/command_handler.h
+++ b/src/dispatcher/command_handler.h
@@ -53,7 +53,7 @@
   RespServer::CommandReply submit(const std::vector<std::string_view>& words, CommandSource source);
   RespServer::CommandReply acceptRepeated(const std::string& reference);
   AdmissionDecision decideAdmission(const StoredMessage& message);
-  void logRefused(const StoredMessage& message, RejectionReason reason);
+  void logRejected(const StoredMessage& message, RejectionReason reason);
   RespServer::CommandReply accept(StoredMessage message, Millis receivedWall);
 
   const EventLoop& loop_;
@@ -67,7 +67,7 @@
   MessageStore& store_;
   DispatchPolicy& policy_;
   UnacknowledgedMessages& unacknowledged_;
-  log::RateLimit refusalLines_;
+  log::RateLimit rejectionLines_;
 };
 
 }  // namespace stonewing
--- a/src/dispatcher/journal_committer.cpp
+++ b/src/dispatcher/journal_committer.cpp
@@ -17,8 +17,8 @@
 constexpr Millis kMaxTimeAge = 5;
 constexpr Millis kNoWait = 0;
 constexpr Millis kNoRetryAfter = 0;
-constexpr double kWithdrawalLinesPerSecond = 10;
-constexpr double kWithdrawalLineBurst = 100;
+constexpr double kRevocationLinesPerSecond = 10;
+constexpr double kRevocationLineBurst = 100;
 
 }  // namespace
 
@@ -38,7 +38,7 @@
       server_(dependencies.server),
       journalWrites_(dependencies.journalWrites),
       unacknowledged_(dependencies.unacknowledged),
-      withdrawalLines_(kWithdrawalLinesPerSecond, kWithdrawalLineBurst) {
+      revocationLines_(kRevocationLinesPerSecond, kRevocationLineBurst) {
   if (store_.descriptor() >= 0) completion_.emplace(loop_, store_.descriptor());
 }
 
@@ -83,29 +83,29 @@
   const AcknowledgementChanges changes = server_.takeAcknowledgementChanges();
   for (MessageId id : changes.written) unacknowledged_.recordWritten(id);
   for (MessageId id : changes.dropped) {
-    if (unacknowledged_.recordDropped(id)) withdraw(id);
+    if (unacknowledged_.recordDropped(id)) revoke(id);
   }
 }
 
-// Withdraws a message of whose acceptance no client can know. Its client has submitted it again elsewhere,
+// Revokes a message of whose acceptance no client can know. Its client has submitted it again elsewhere,
 // and would have it executed twice. Returns false for a message that may have been executed: it stays
 // accepted, so that the same reference is not executed again.
-bool JournalCommitter::withdraw(MessageId id) {
+bool JournalCommitter::revoke(MessageId id) {
   const StoredMessage* message = store_.find(id);
   if (message == nullptr || !sender_.cancelUnsent(id)) return false;
-  if (withdrawalLines_.allow(loop_.now())) {
-    log::info("message.withdrawn", {{"message", message->reference},
-                                    {"client", message->submitter},
-                                    {"suppressed", withdrawalLines_.takeSuppressed()}});
+  if (revocationLines_.allow(loop_.now())) {
+    log::info("message.revoked", {{"message", message->reference},
+                                  {"client", message->submitter},
+                                  {"suppressed", revocationLines_.takeSuppressed()}});
   }
   policy_.cancelMessage(id);
-  store_.recordWithdrawn(id);
+  store_.recordRevoked(id);
   return true;
 }
 
 std::optional<std::string> JournalCommitter::replacementReply(MessageId id, ClientSide side) {
   if (store_.isLostAcceptance(id)) return busyReply(admission_.recordRejection(loop_.now()));
-  if (side == ClientSide::closed && unacknowledged_.hasOneReplyLeft(id) && withdraw(id))
+  if (side == ClientSide::closed && unacknowledged_.hasOneReplyLeft(id) && revoke(id))
     return busyReply(kNoRetryAfter);
   if (const StoredMessage* message = store_.find(id))
     log::debug("message.acknowledged", {{"message", message->reference}});
--- a/src/dispatcher/journal_committer.h
+++ b/src/dispatcher/journal_committer.h
@@ -66,7 +66,7 @@
   void replyWithoutRecords();
   std::optional<std::string> replacementReply(MessageId id, ClientSide side);
   void applyAcknowledgementChanges();
-  bool withdraw(MessageId id);
+  bool revoke(MessageId id);
 
   EventLoop& loop_;
   DispatchPolicy& policy_;
@@ -77,7 +77,7 @@
   RespServer& server_;
   JournalWriteMonitor& journalWrites_;
   UnacknowledgedMessages& unacknowledged_;
-  log::RateLimit withdrawalLines_;
+  log::RateLimit revocationLines_;
   std::optional<JournalCompletion> completion_;  // only with a background writer
 };
 
--- a/src/dispatcher/unacknowledged_messages.h
+++ b/src/dispatcher/unacknowledged_messages.h
@@ -8,7 +8,7 @@
 
 // The messages that were accepted in this process and of whose acceptance no client can know yet, with the
 // number of replies that may still tell one. If all of these replies are lost, because their clients have
-// left, the message was never accepted as far as anybody knows, and may be withdrawn.
+// left, the message was never accepted as far as anybody knows, and may be revoked.
 //
 // Uses no sockets and no clock.
 class UnacknowledgedMessages {
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -157,7 +157,7 @@
   finishMessage(id);
 }
 
-void MessageStore::recordWithdrawn(MessageId id) {
+void MessageStore::recordRevoked(MessageId id) {
   if (live_.find(id) == nullptr) return;
   makeSpaceAndAppend(encodeFinished(id), {RecordTag::finished, id});
   live_.remove(id);
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -66,9 +66,9 @@
   void recordNotExecuted(MessageId id, int attempt);
   // Records that the message is finished and needs no notification.
   void recordDelivered(MessageId id);
-  // Records that the message was withdrawn: no client knows that it was accepted, and it was not executed. It
+  // Records that the message was revoked: no client knows that it was accepted, and it was not executed. It
   // counts as never accepted, and the same reference may be accepted again.
-  void recordWithdrawn(MessageId id);
+  void recordRevoked(MessageId id);
   // Records that the message is finished and the platform is to be notified. `retryAfter` is in milliseconds;
   // 0 means that the notification advises no time.
   void addPendingNotification(MessageId id, FinalOutcome result, Millis retryAfter);
--- a/tests/dispatcher/client_load_test.cpp
+++ b/tests/dispatcher/client_load_test.cpp
@@ -45,20 +45,20 @@
 }
 
 // Endpoint s-1 of destination 7 responds, s-2 of destination 8 never does.
-std::string listOf(const HttpServerStub& healthy, const HttpServerStub& silent) {
+std::string listOf(const HttpServerStub& healthy, const HttpServerStub& unresponsive) {
   auto entry = [](const std::string& name, const HttpServerStub& stub, const std::string& cell) {
     return R"({"id":")" + name + R"(","addr":")" + stub.address() + R"(","zone":"a","kind":"plain","cell":)" +
            cell + R"(,"state":"in_service","weight":1.0,"started_ms":0})";
   };
-  return "[" + entry("s-1", healthy, "7") + "," + entry("s-2", silent, "8") + "]";
+  return "[" + entry("s-1", healthy, "7") + "," + entry("s-2", unresponsive, "8") + "]";
 }
 
 void expectOrdinaryClientsServedBeside(const std::vector<Crowd>& crowds, const std::string& diskLimit = "3") {
   HttpServerStub healthy(respondAtOnce);
-  HttpServerStub silent([](const auto&, const auto&) { return ""; });
+  HttpServerStub unresponsive([](const auto&, const auto&) { return ""; });
   healthy.start();
-  silent.start();
-  DispatcherProcess dispatcher(kSettings, listOf(healthy, silent), healthy.address(),
+  unresponsive.start();
+  DispatcherProcess dispatcher(kSettings, listOf(healthy, unresponsive), healthy.address(),
                                R"({"sockets":1024,"memory_mb":96,"disk_mb":)" + diskLimit + "}");
   ASSERT_TRUE(dispatcher.start());
   ClientSummary summary;
@@ -124,7 +124,7 @@
   expectOrdinaryClientsServedBeside({{4, {.bytes = submitCommand("fields", list), .readsReplies = true}}});
 }
 
-TEST(ClientLoad, LargeBodiesToASilentDestination) {
+TEST(ClientLoad, LargeBodiesToAnUnresponsiveDestination) {
   std::string submissions;
   for (int n = 0; n < 2000; ++n) {
     submissions +=
--- a/tests/dispatcher/leaving_clients_test.cpp
+++ b/tests/dispatcher/leaving_clients_test.cpp
@@ -109,13 +109,13 @@
   EXPECT_EQ(sentMoreThanOnce(), 0);
 }
 
-// The acceptance is written to the journal while the client leaves, and cannot be told to anybody. The same
+// The acceptance is written to the journal while the client leaves, and cannot reach anybody. The same
 // id may come again, and is then a new message.
-TEST_F(LeavingClients, AMessageIsWithdrawnWhenItsClientLeavesBeforeTheAcceptanceIsWritten) {
+TEST_F(LeavingClients, AMessageIsRevokedWhenItsClientLeavesBeforeTheAcceptanceIsWritten) {
   dispatcher.stop(SIGTERM);
   dispatcher.preload(STONEWING_HANG);
   ASSERT_TRUE(dispatcher.start());
-  const std::string submission = submitCommand("withdrawn", kUnsafeFields);
+  const std::string submission = submitCommand("revoked", kUnsafeFields);
   std::ofstream(dispatcher.directory() / "hang") << "";
   int fd = connectToLoopback(dispatcher.port());
   sendBytes(fd, submission);
@@ -123,9 +123,9 @@
   resetAndClose(fd);
   std::filesystem::remove(dispatcher.directory() / "hang");
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
-  EXPECT_EQ(endpoint.requestsContaining("withdrawn"), 0u);
+  EXPECT_EQ(endpoint.requestsContaining("revoked"), 0u);
   EXPECT_EQ(dispatcher.request(submission), "+OK\r\n");
-  EXPECT_TRUE(eventually(2000, [&] { return endpoint.requestsContaining("withdrawn") == 1; }));
+  EXPECT_TRUE(eventually(2000, [&] { return endpoint.requestsContaining("revoked") == 1; }));
 }
 
 // A client that reads the acceptance and then resets its connection has handed the message over.
--- a/tests/server/reply_queue_test.cpp
+++ b/tests/server/reply_queue_test.cpp
@@ -45,7 +45,7 @@
   EXPECT_TRUE(replies.empty());
 }
 
-// A message whose acceptance the client cannot have read may be withdrawn; one whose acceptance it may have
+// A message whose acceptance the client cannot have read may be revoked; one whose acceptance it may have
 // read may not.
 TEST_F(ReplyQueueTest, ReportsAnAcceptanceAsWrittenOnlyOnceItIsWrittenWhole) {
   replies.add({"+OK\r\n", kFirst});
--- a/tests/support/kept_clients.h
+++ b/tests/support/kept_clients.h
@@ -45,7 +45,7 @@
  private:
   using Clock = std::chrono::steady_clock;
   enum class Answer { accepted, refused, none, connectionEnded };
-  static constexpr std::chrono::milliseconds kPatience{400};
+  static constexpr std::chrono::milliseconds kReplyTimeout{400};
   static constexpr std::chrono::milliseconds kPause{10};
 
   void run(int client) {
@@ -81,7 +81,7 @@
 
   int connect() const {
     int fd = connectToLoopback(port_);
-    timeval timeout{0, std::chrono::microseconds(kPatience).count()};
+    timeval timeout{0, std::chrono::microseconds(kReplyTimeout).count()};
     if (fd >= 0) ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     return fd;
   }
--- a/tests/support/ordinary_clients.h
+++ b/tests/support/ordinary_clients.h
@@ -54,7 +54,7 @@
 
  private:
   using Clock = std::chrono::steady_clock;
-  static constexpr std::chrono::milliseconds kPatience{400};
+  static constexpr std::chrono::milliseconds kReplyTimeout{400};
   static constexpr std::chrono::milliseconds kPause{20};
 
   void run(int client) {
@@ -79,7 +79,7 @@
 
   int connect() const {
     int fd = connectToLoopback(port_);
-    timeval timeout{0, std::chrono::microseconds(kPatience).count()};
+    timeval timeout{0, std::chrono::microseconds(kReplyTimeout).count()};
     ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
     return fd;
   }
