--- a/src/server/client_connection.cpp
+++ b/src/server/client_connection.cpp
@@ -273,7 +273,7 @@
   return owner_.isDraining() ? kClientTimeoutMs : kSilentTimeoutMs;
 }
 
-void ClientConnection::addReply(CommandReply reply) {
+void ClientConnection::addReply(const CommandReply& reply) {
   if (!replies_.hasWaiting()) owner_.onRepliesPending(*this);
   replies_.add(reply);
 }
--- a/src/server/client_connection.h
+++ b/src/server/client_connection.h
@@ -131,7 +131,7 @@
   void write();
   void close();
 
-  void addReply(CommandReply reply);
+  void addReply(const CommandReply& reply);
   void rejectAndClose(std::string error);
   void startClosing(ClientCloseCause cause);
 
