Event loop: a handler that asks again is called once more, however often it asks

Cause: a handler with work left asks to be called in the next turn. An event in that turn calls it a second time, and it asked once for each call: with a peer that goes on sending, the calls for each turn grew by one every turn, and each cost a system call or more.

A descriptor now stands in the list once.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -46,7 +46,8 @@
 
 void EventLoop::reschedule(int fd) {
   auto found = registrations_.find(fd);
-  if (found == registrations_.end()) return;
+  if (found == registrations_.end() || found->second.isRescheduled) return;
+  found->second.isRescheduled = true;
   rescheduled_.push_back(makeTag(fd, found->second.serial));
 }
 
@@ -88,15 +89,22 @@
 
 void EventLoop::dispatch() {
   // Both lists are emptied first, since a handler may reschedule itself for the next turn.
-  for (EventTag tag : std::exchange(rescheduled_, {})) deliver(tag, EPOLLIN | EPOLLOUT | EPOLLRDHUP);
+  for (EventTag tag : std::exchange(rescheduled_, {})) {
+    if (Registration* registration = find(tag)) registration->isRescheduled = false;
+    deliver(tag, EPOLLIN | EPOLLOUT | EPOLLRDHUP);
+  }
   for (auto [tag, events] : std::exchange(pendingEvents_, {})) deliver(tag, events);
 }
 
-// Drops an event whose registration has ended, even if its descriptor number is in use again.
-void EventLoop::deliver(EventTag tag, std::uint32_t events) {
+// Null if the registration has ended, even if its descriptor number is in use again.
+EventLoop::Registration* EventLoop::find(EventTag tag) {
   auto found = registrations_.find(static_cast<int>(tag & 0xffffffffu));
-  if (found == registrations_.end() || found->second.serial != tag >> 32) return;
-  found->second.handler->onEvents(events);
+  if (found == registrations_.end() || found->second.serial != tag >> 32) return nullptr;
+  return &found->second;
+}
+
+void EventLoop::deliver(EventTag tag, std::uint32_t events) {
+  if (Registration* registration = find(tag)) registration->handler->onEvents(events);
 }
 
 }  // namespace stonewing
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -44,6 +44,7 @@
   // not even those already collected for the current turn. Has no effect if there is no registration.
   void unwatch(int fd);
   // Calls the handler again in the next turn, for a handler that has not finished its work in this one.
+  // Further calls in the same turn have no effect.
   void reschedule(int fd);
   // Destroys a closed handler only after the turn, since it may be in the middle of its own event.
   void deferDeletion(std::unique_ptr<EventHandler> handler) {
@@ -80,6 +81,7 @@
   struct Registration {
     EventHandler* handler{};
     std::uint32_t serial{};
+    bool isRescheduled{false};  // it is in rescheduled_
   };
   struct PendingEvent {
     EventTag tag{};
@@ -88,6 +90,7 @@
 
   static EventTag makeTag(int fd, std::uint32_t serial);
   void collectEvents(int timeoutMs);
+  Registration* find(EventTag tag);
   void deliver(EventTag tag, std::uint32_t events);
 
   UniqueFd epoll_;
