Endpoints: a broken connection gives its response's memory back at once

A connection that broke kept the bytes that had arrived until it was destroyed, so that the budget stayed exceeded by responses that nobody reads any more.

--- a/src/net/http_client_connection.cpp
+++ b/src/net/http_client_connection.cpp
@@ -76,6 +76,7 @@
   failure_ = failure;
   close();
   observer_.onBroken(*this);
+  if (!socket_.isOpen()) releaseReceived();
 }
 
 void HttpClientConnection::onEvents(std::uint32_t events) {
