--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -407,6 +407,7 @@
             line = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), CLIENT_WAIT_S)
             done.reply = line.decode("latin-1").strip()
         except (asyncio.TimeoutError, asyncio.IncompleteReadError, ConnectionError, OSError) as problem:
+            done.extra["why"] = type(problem).__name__
             self.record.add(f"no reply to {ref}: {type(problem).__name__}")
             self.close()
             return done
