--- a/review/8/case.py
+++ b/review/8/case.py
@@ -82,13 +82,20 @@
     for ref, reply in replies.items():
         if not reply.startswith("+OK"):
             continue
-        ran = [(endpoint.name, arrival) for endpoint in endpoints for arrival in endpoint.arrivals if arrival.ref == ref]
+        ran = [
+            (endpoint.name, arrival)
+            for endpoint in endpoints
+            for arrival in endpoint.arrivals
+            if arrival.ref == ref
+        ]
         if any(name == "s-1" and arrival.body == body_of(ref) for name, arrival in ran):
             continue
         others = [f"{name} ran {arrival.body!r}" for name, arrival in ran]
         if ref in ends and not others:
             continue
-        broken.append(f"{ref} was answered {reply} and never came to destination 1; under its id {', '.join(others)}")
+        broken.append(
+            f"{ref} was answered {reply} and never came to destination 1; under its id {', '.join(others)}"
+        )
     return broken
 
 
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -146,8 +147,7 @@
     """End a connection with a reset."""
     sock = writer.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
-        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -169,7 +169,9 @@
         self.version += 1
         self.entries[entry["id"]] = entry
         self.changed_at[entry["id"]] = self.version
-        self.record.add(f"list version {self.version}: {entry['id']} at {entry['addr']} for {entry['cell']} {entry['state']}")
+        self.record.add(
+            f"list version {self.version}: {entry['id']} at {entry['addr']} for {entry['cell']} {entry['state']}"
+        )
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -242,7 +244,9 @@
 class Endpoint(Listener):
     """An endpoint. `behave` answers each request; by default all is delivered after `delay_s`."""
 
-    def __init__(self, record: Record, name: str, cell: int, zone: str = "a", kind: str = "m1", port: int = 0) -> None:
+    def __init__(
+        self, record: Record, name: str, cell: int, zone: str = "a", kind: str = "m1", port: int = 0
+    ) -> None:
         super().__init__(port)
         self.record = record
         self.name, self.cell, self.zone, self.kind = name, cell, zone, kind
@@ -256,8 +260,16 @@
 
     def entry(self, state: str = "in_service", started_ms: int = 0) -> dict[str, Any]:
         """The endpoint in discovery's form."""
-        return {"id": self.name, "addr": f"{HOST}:{self.port}", "zone": self.zone, "kind": self.kind, "cell": self.cell,
-                "state": state, "weight": 50.0, "started_ms": started_ms}
+        return {
+            "id": self.name,
+            "addr": f"{HOST}:{self.port}",
+            "zone": self.zone,
+            "kind": self.kind,
+            "cell": self.cell,
+            "state": state,
+            "weight": 50.0,
+            "started_ms": started_ms,
+        }
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.on_connect is not None:
@@ -282,12 +294,16 @@
             arrivals = [Arrival(ref, now, self.name, body, len(messages)) for ref, body in messages]
             self.arrivals += arrivals
             for arrival in arrivals:
-                self.record.add(f"{self.name} got {arrival.ref} ({len(arrival.body)} bytes, one of {arrival.batch})")
+                self.record.add(
+                    f"{self.name} got {arrival.ref} ({len(arrival.body)} bytes, one of {arrival.batch})"
+                )
             await self.behave(self, arrivals, writer)
             if writer.is_closing():
                 return
 
-    async def refuse_large(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, length: int) -> None:
+    async def refuse_large(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, length: int
+    ) -> None:
         """Answer 413 at once, drop the body, and end the connection."""
         writer.write(http_response(413, b"", {"Connection": "close"}))
         await writer.drain()
@@ -317,8 +333,13 @@
             return None
         return messages
 
-    async def answer(self, arrivals: list[Arrival], writer: asyncio.StreamWriter, status: str,
-                     headers: dict[str, str] | None = None) -> None:
+    async def answer(
+        self,
+        arrivals: list[Arrival],
+        writer: asyncio.StreamWriter,
+        status: str,
+        headers: dict[str, str] | None = None,
+    ) -> None:
         """Answer all messages of a request alike: a status, or for several messages "ok" and so on."""
         if status.isdigit():
             data = http_response(int(status), b"", headers)
@@ -375,7 +396,12 @@
 
     async def connect(self) -> bool:
         """Connect; False if that is refused."""
-        if self.writer is not None and not self.writer.is_closing() and self.reader is not None and not self.reader.at_eof():
+        if (
+            self.writer is not None
+            and not self.writer.is_closing()
+            and self.reader is not None
+            and not self.reader.at_eof()
+        ):
             return True
         try:
             self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
@@ -390,8 +416,17 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def submit(self, ref: str, kind: str, tenant: str, time_s: float, dest: int, body: bytes,
-                     key: str = "", order: str = "0000000000000000") -> Submission:
+    async def submit(
+        self,
+        ref: str,
+        kind: str,
+        tenant: str,
+        time_s: float,
+        dest: int,
+        body: bytes,
+        key: str = "",
+        order: str = "0000000000000000",
+    ) -> Submission:
         """Hand in a message and wait for its answer."""
         fields = f"c={kind},t={tenant},d={int(time_s * 1000)},dest={dest}"
         if key:
@@ -401,7 +436,9 @@
             self.record.add(f"submit {ref} {kind}: no connection")
             return done
         assert self.reader is not None and self.writer is not None
-        done.sent_at = self.record.add(f"submit {ref} {kind} d={int(time_s * 1000)} dest={dest} ({len(body)} bytes)")
+        done.sent_at = self.record.add(
+            f"submit {ref} {kind} d={int(time_s * 1000)} dest={dest} ({len(body)} bytes)"
+        )
         try:
             self.writer.write(resp_command(b"SUBMIT", order.encode(), ref.encode(), fields.encode(), body))
             line = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), CLIENT_WAIT_S)
@@ -423,7 +460,13 @@
         self.port = free_port()
         state = folder / f"state-{self.port}"
         state.mkdir()
-        self.config = {"name": "n1", "seed": "8c1f30d27a5be964", "listen": f"{HOST}:{self.port}", "state": str(state), **config}
+        self.config = {
+            "name": "n1",
+            "seed": "8c1f30d27a5be964",
+            "listen": f"{HOST}:{self.port}",
+            "state": str(state),
+            **config,
+        }
         self.config_path = folder / f"config-{self.port}.json"
         self.process: subprocess.Popen[bytes] | None = None
         self.log_path = folder / f"log-{self.port}.txt"
@@ -448,7 +491,9 @@
         if level:
             command += f" --log {level}"
         environment = {**os.environ, "EDGE_CONFIG": str(self.config_path)}
-        self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log)
+        self.process = subprocess.Popen(
+            ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
         log.close()
         self.expects_end = False
         self.record.add(f"dispatcher started, pid {self.process.pid}")
@@ -530,13 +575,44 @@
     """The settings of a small deployment. Keys with a dot replace a value inside a table."""
     base: dict[str, Any] = {
         "request-classes": [
-            {"name": "order", "aim-s": 1.0, "deadline-s": 6.0, "importance": 2.0, "late-worth": 0.5, "effect": "unsafe"},
-            {"name": "notice", "aim-s": 1.0, "deadline-s": 6.0, "importance": 1.0, "late-worth": 0.5, "effect": "keyed",
-             "group": "all", "repeat-window-s": 4.0},
-            {"name": "local", "aim-s": 1.0, "deadline-s": 6.0, "importance": 1.0, "late-worth": 0.5, "effect": "keyed",
-             "group": "zone", "repeat-window-s": 4.0},
-            {"name": "status", "aim-s": 1.0, "deadline-s": 5.0, "importance": 1.0, "late-worth": 0.1, "effect": "safe",
-             "group": "all", "repeat-window-s": 5.0},
+            {
+                "name": "order",
+                "aim-s": 1.0,
+                "deadline-s": 6.0,
+                "importance": 2.0,
+                "late-worth": 0.5,
+                "effect": "unsafe",
+            },
+            {
+                "name": "notice",
+                "aim-s": 1.0,
+                "deadline-s": 6.0,
+                "importance": 1.0,
+                "late-worth": 0.5,
+                "effect": "keyed",
+                "group": "all",
+                "repeat-window-s": 4.0,
+            },
+            {
+                "name": "local",
+                "aim-s": 1.0,
+                "deadline-s": 6.0,
+                "importance": 1.0,
+                "late-worth": 0.5,
+                "effect": "keyed",
+                "group": "zone",
+                "repeat-window-s": 4.0,
+            },
+            {
+                "name": "status",
+                "aim-s": 1.0,
+                "deadline-s": 5.0,
+                "importance": 1.0,
+                "late-worth": 0.1,
+                "effect": "safe",
+                "group": "all",
+                "repeat-window-s": 5.0,
+            },
         ],
         "orgs": [{"name": "acme", "fraction": 1.0, "quota-per-s": 200.0}],
         "kinds": ["m1", "m2"],
@@ -548,12 +624,33 @@
         "weight-source": "rough",
         "over-share-worth": 0.05,
         "family": "deliver",
-        "family-info": {"call-slots": 24, "decay": "linear", "kind-apart": [False, False], "per-call": [1, 20]},
-        "limits": {"open-cap": 400, "max-attempts": 12, "may-duplicate": True, "cancel": True, "probes": True,
-                   "retry-after": True, "max-retry-after-s": 2.0, "conn-idle-s": 15.0, "connect-timeout-s": 1.5},
+        "family-info": {
+            "call-slots": 24,
+            "decay": "linear",
+            "kind-apart": [False, False],
+            "per-call": [1, 20],
+        },
+        "limits": {
+            "open-cap": 400,
+            "max-attempts": 12,
+            "may-duplicate": True,
+            "cancel": True,
+            "probes": True,
+            "retry-after": True,
+            "max-retry-after-s": 2.0,
+            "conn-idle-s": 15.0,
+            "connect-timeout-s": 1.5,
+        },
         "report": {"fields": [], "source": "off"},
-        "rules": {"answer-slack-s": 0.25, "ask-within-s": 10.0, "cold-from": 0.2, "cold-s": 10.0, "drain-grace-s": 0.5,
-                  "fall-multiple": 2.5, "fall-s": 1.5},
+        "rules": {
+            "answer-slack-s": 0.25,
+            "ask-within-s": 10.0,
+            "cold-from": 0.2,
+            "cold-s": 10.0,
+            "drain-grace-s": 0.5,
+            "fall-multiple": 2.5,
+            "fall-s": 1.5,
+        },
     }
     for name, value in changes.items():
         base[name] = value
@@ -596,10 +693,16 @@
         for line in broken:
             case.record.add("BROKEN: " + line)
         code = 1 if broken else 0
-        case.record.add(f"the rule {'was broken' if broken else 'held'} (trouble: {'on' if case.trouble else 'off'})")
+        case.record.add(
+            f"the rule {'was broken' if broken else 'held'} (trouble: {'on' if case.trouble else 'off'})"
+        )
     except Exception as problem:  # pylint: disable=broad-except
         case.record.add(f"the case could not run: {type(problem).__name__}: {problem}")
     finally:
         case.finish()
-    print("\n".join(line for line in case.record.lines if "BROKEN" in line or "the rule" in line or "the case" in line))
+    print(
+        "\n".join(
+            line for line in case.record.lines if "BROKEN" in line or "the rule" in line or "the case" in line
+        )
+    )
     return code
