--- a/review/8/case.py
+++ b/review/8/case.py
@@ -100,4 +100,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(str(Path(__file__).resolve().parent), body))
+    # What was sent, answered and run is written to record.txt beside this file.
+    sys.exit(run_case(Path(__file__).resolve().parent / "record.txt", body))
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -660,8 +660,8 @@
 class Case:
     """A run of a case: its temporary folder, its record, and the end of all it started."""
 
-    def __init__(self, folder: str) -> None:
-        self.folder = Path(folder)
+    def __init__(self, record_path: Path) -> None:
+        self.record_path = record_path
         self.record = Record()
         self.temporary = Path(tempfile.mkdtemp(prefix="stonewing-review-"))
         self.dispatchers: list[Dispatcher] = []
@@ -676,7 +676,7 @@
         """End all processes, and write the record."""
         for dispatcher in self.dispatchers:
             dispatcher.end()
-        self.record.write(self.folder / "record.txt")
+        self.record.write(self.record_path)
         keep = os.environ.get("KEEP_LOG")
         if keep:
             for dispatcher in self.dispatchers:
@@ -684,9 +684,9 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
-def run_case(folder: str, body: Callable[[Case], Awaitable[list[str]]], limit_s: float = 110) -> int:
+def run_case(record_path: Path, body: Callable[[Case], Awaitable[list[str]]], limit_s: float = 110) -> int:
     """Run a case. Returns the exit code: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
-    case = Case(folder)
+    case = Case(record_path)
     code = 2
     try:
         broken = asyncio.run(asyncio.wait_for(body(case), limit_s))
