--- a/review/8/case.py
+++ b/review/8/case.py
@@ -68,6 +68,8 @@
         for ref in refs:
             line = await asyncio.wait_for(reader.readuntil(b"\r\n"), 2.0)
             replies[ref] = line.decode().strip()
+        accepted = sum(replies[ref].startswith("+OK") for ref in refs)
+        record.add(f"{refs[0]} to {refs[-1]}: {accepted} of {len(refs)} are answered +OK")
         record.add(f"{refs[-1]} is answered {replies[refs[-1]]} after {time.monotonic() - began:.3f} s")
         if case.trouble:
             line = await asyncio.wait_for(bad_reader.readuntil(b"\r\n"), 2.0)
