Submissions: a different message under a known id is refused, not answered +OK

Cause: CommandHandler::submit() asked MessageStore for the reference alone, among the messages in flight (contains) and among those that have ended (finishedOutcomeOf), and took whatever had it for the same message. An id does not prove who sends it. TurnAllowance only makes the order of the case possible; a single command ahead of the client's is enough.

Now MessageStore::match() compares all parts but the deadline: with the message itself while it is in flight, with a 128-bit fingerprint once it has ended. A different message is answered -BUSY, the one answer after which its client may submit it again: nothing tells which of the two uses an id that is not its own. message.id_conflict says which part differs. A different message no longer counts as a reply that may tell of the first one's acceptance (UnacknowledgedMessages).

Restart.IsReadySoonWithAFullJournal and KeepsAllMessagesWhenStoppedDuringRecovery submitted "lamp 7" as the repeat of messages with the body "x"; they submit "x" now, and expect the same.

--- a/src/base/bytes.h
+++ b/src/base/bytes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <cstring>
 #include <string>
 #include <string_view>
@@ -46,4 +47,10 @@
   buffer.append(reinterpret_cast<const char*>(&value), sizeof value);
 }
 
+// Appends a text after its length (32 bits).
+inline void putText(std::string& buffer, std::string_view text) {
+  putBytes(buffer, static_cast<std::uint32_t>(text.size()));
+  buffer.append(text);
+}
+
 }  // namespace stonewing
--- a/src/dispatcher/command_handler.cpp
+++ b/src/dispatcher/command_handler.cpp
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <optional>
 #include <utility>
+#include <variant>
 
 #include "base/errors.h"
+#include "base/overloaded.h"
 #include "logging/log.h"
 
 namespace stonewing {
@@ -19,6 +21,8 @@
 constexpr Millis kNoRetryAfter = 0;
 constexpr double kRejectionLinesPerSecond = 10;
 constexpr double kRejectionLineBurst = 100;
+constexpr double kConflictLinesPerSecond = 10;
+constexpr double kConflictLineBurst = 100;
 constexpr std::size_t kPingWords = 1;
 constexpr std::size_t kSubmitWords = 5;  // SUBMIT, ordering key, message id, field list, body
 
@@ -41,7 +45,8 @@
       store_(dependencies.store),
       policy_(dependencies.policy),
       unacknowledged_(dependencies.unacknowledged),
-      rejectionLines_(kRejectionLinesPerSecond, kRejectionLineBurst) {}
+      rejectionLines_(kRejectionLinesPerSecond, kRejectionLineBurst),
+      conflictLines_(kConflictLinesPerSecond, kConflictLineBurst) {}
 
 RespServer::CommandReply CommandHandler::handle(const std::vector<std::string_view>& words,
                                                 CommandSource source) {
@@ -61,10 +66,7 @@
   const Millis receivedWall = std::floor(wallNow());
   StoredMessage message = store_.decode(words[1], words[2], words[3], words[4], receivedWall);
   message.submitter = source.client;
-  // The client has submitted the message again because the first reply was lost.
-  if (store_.contains(message.reference)) return acceptRepeated(message.reference);
-  if (const auto outcome = store_.finishedOutcomeOf(message.reference))
-    return {*outcome == ExecutedOutcome::delivered ? kOkReply : kFailedReply};
+  if (auto reply = replyToKnownReference(message)) return *std::move(reply);
   if (!discovery_.hasEverListed(message.destination)) {
     // Until discovery has answered, the endpoint list may be outdated and lack a new destination.
     if (!discovery_.hasAcceptedResponse()) return {busyReply(kNoRetryAfter)};
@@ -108,8 +110,37 @@
   return admission_.decide(inputs, priorityWeight, policy_.isOverQuota(message.tenant));
 }
 
-RespServer::CommandReply CommandHandler::acceptRepeated(const std::string& reference) {
-  const MessageId id = store_.idOf(reference);
+// The reply to a message whose reference is known; no value if it may be accepted as a new message.
+std::optional<RespServer::CommandReply> CommandHandler::replyToKnownReference(const StoredMessage& message) {
+  using Reply = std::optional<RespServer::CommandReply>;
+  return std::visit(Overloaded{
+                        [](const NewSubmission&) -> Reply { return std::nullopt; },
+                        // The client has submitted the message again because the first reply was lost.
+                        [&](const SameInFlight& same) -> Reply { return acceptRepeated(same.id); },
+                        [](const SameExecuted& same) -> Reply {
+                          return {{same.outcome == ExecutedOutcome::delivered ? kOkReply : kFailedReply}};
+                        },
+                        // Nothing tells which of the two clients uses an id that is not its own. Its message
+                        // was not accepted, and the client may submit it under a new id.
+                        [&](const ReferenceConflict& conflict) -> Reply {
+                          logConflict(message, conflict);
+                          return {{busyReply(kNoRetryAfter)}};
+                        },
+                    },
+                    store_.match(message));
+}
+
+void CommandHandler::logConflict(const StoredMessage& message, const ReferenceConflict& conflict) {
+  if (!conflictLines_.allow(loop_.now())) return;
+  log::warn("message.id_conflict",
+            {{"message", message.reference},
+             {"client", message.submitter},
+             {"other", nameOf(conflict.holder)},
+             {"differs", conflict.difference ? nameOf(*conflict.difference) : "unknown"},
+             {"suppressed", conflictLines_.takeSuppressed()}});
+}
+
+RespServer::CommandReply CommandHandler::acceptRepeated(MessageId id) {
   unacknowledged_.addRepeated(id);
   return {kOkReply, id};
 }
--- a/src/dispatcher/command_handler.h
+++ b/src/dispatcher/command_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,7 +52,9 @@
 
  private:
   RespServer::CommandReply submit(const std::vector<std::string_view>& words, CommandSource source);
-  RespServer::CommandReply acceptRepeated(const std::string& reference);
+  std::optional<RespServer::CommandReply> replyToKnownReference(const StoredMessage& message);
+  RespServer::CommandReply acceptRepeated(MessageId id);
+  void logConflict(const StoredMessage& message, const ReferenceConflict& conflict);
   AdmissionDecision decideAdmission(const StoredMessage& message);
   void logRejected(const StoredMessage& message, RejectionReason reason);
   RespServer::CommandReply accept(StoredMessage message, Millis receivedWall);
@@ -68,6 +71,7 @@
   DispatchPolicy& policy_;
   UnacknowledgedMessages& unacknowledged_;
   log::RateLimit rejectionLines_;
+  log::RateLimit conflictLines_;
 };
 
 }  // namespace stonewing
--- a/src/storage/finished_references.cpp
+++ b/src/storage/finished_references.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 // A node and a bucket of the map, and an entry of the queue.
-constexpr std::size_t kEntryBytes = 96;
+constexpr std::size_t kEntryBytes = 112;
 
 }  // namespace
 
@@ -12,8 +12,8 @@
   return kEntryBytes + reference.size();
 }
 
-void FinishedReferences::add(const std::string& reference, ExecutedOutcome outcome) {
-  auto [entry, isNew] = outcomes_.insert_or_assign(reference, outcome);
+void FinishedReferences::add(const std::string& reference, const FinishedMessage& message) {
+  auto [entry, isNew] = messages_.insert_or_assign(reference, message);
   if (!isNew) return;
   order_.push_back(&entry->first);
   memoryBytes_ += memoryOf(reference);
@@ -21,13 +21,13 @@
     const std::string* oldest = order_.front();
     memoryBytes_ -= memoryOf(*oldest);
     order_.pop_front();
-    outcomes_.erase(outcomes_.find(*oldest));
+    messages_.erase(messages_.find(*oldest));
   }
 }
 
-std::optional<ExecutedOutcome> FinishedReferences::find(std::string_view reference) const {
-  auto entry = outcomes_.find(std::string(reference));
-  if (entry == outcomes_.end()) return std::nullopt;
+std::optional<FinishedMessage> FinishedReferences::find(std::string_view reference) const {
+  auto entry = messages_.find(std::string(reference));
+  if (entry == messages_.end()) return std::nullopt;
   return entry->second;
 }
 
--- a/src/storage/finished_references.h
+++ b/src/storage/finished_references.h
@@ -7,23 +7,27 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "storage/stored_message.h"
+#include "storage/message_identity.h"
+#include "storage/submission_match.h"
 
 namespace stonewing {
 
-// How a message ended that may have been executed.
-enum class ExecutedOutcome { delivered, failed };
+// What is remembered of a message that has ended and may have been executed.
+struct FinishedMessage {
+  ExecutedOutcome outcome{};
+  MessageFingerprint fingerprint;
+};
 
-// The references of the latest messages that have ended and may have been executed, so that a client that
+// The latest messages that have ended and may have been executed, by their references, so that a client that
 // submits one of them again does not have it executed twice. The oldest are forgotten first.
 class FinishedReferences {
  public:
   // `maxBytes`: the memory that the references may occupy.
   explicit FinishedReferences(std::size_t maxBytes) : maxBytes_(maxBytes) {}
 
-  void add(const std::string& reference, ExecutedOutcome outcome);
+  void add(const std::string& reference, const FinishedMessage& message);
   // No value if the reference is unknown, or was forgotten.
-  std::optional<ExecutedOutcome> find(std::string_view reference) const;
+  std::optional<FinishedMessage> find(std::string_view reference) const;
   // The memory that the references occupy, in bytes.
   std::size_t memoryBytes() const { return memoryBytes_; }
 
@@ -33,8 +37,8 @@
   std::size_t maxBytes_;
   std::size_t memoryBytes_{0};
   // References are stable while their element is in the map.
-  std::unordered_map<std::string, ExecutedOutcome> outcomes_;
-  std::deque<const std::string*> order_;  // the keys of outcomes_, oldest first
+  std::unordered_map<std::string, FinishedMessage> messages_;
+  std::deque<const std::string*> order_;  // the keys of messages_, oldest first
 };
 
 }  // namespace stonewing
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -37,6 +37,25 @@
   return parseSubmission(names_, {orderingKey, reference, fieldList, body}, receivedWall);
 }
 
+SubmissionMatch MessageStore::match(const StoredMessage& submitted) const {
+  if (live_.contains(submitted.reference)) return matchInFlight(live_.idOf(submitted.reference), submitted);
+  if (const auto finished = finished_.find(submitted.reference)) return matchFinished(*finished, submitted);
+  return NewSubmission{};
+}
+
+SubmissionMatch MessageStore::matchInFlight(MessageId id, const StoredMessage& submitted) const {
+  const auto difference = firstDifference(*live_.find(id), submitted);
+  if (difference) return ReferenceConflict{ReferenceHolder::inFlight, difference};
+  return SameInFlight{id};
+}
+
+SubmissionMatch MessageStore::matchFinished(const FinishedMessage& finished,
+                                            const StoredMessage& submitted) const {
+  if (finished.fingerprint == fingerprintOf(submitted, names_)) return SameExecuted{finished.outcome};
+  const bool isDelivered = finished.outcome == ExecutedOutcome::delivered;
+  return ReferenceConflict{isDelivered ? ReferenceHolder::delivered : ReferenceHolder::failed};
+}
+
 double MessageStore::usedShare() const {
   if (journal_.maxBytes() == 0) return 1;
   return 2 * static_cast<double>(live_.liveBytes()) / static_cast<double>(journal_.maxBytes());
@@ -182,13 +201,13 @@
   if (live_.remove(id)) ++finishedCount_;
 }
 
-// Remembers the reference of a message that is about to finish, unless it was provably not executed.
+// Remembers a message that is about to finish, unless it was provably not executed.
 void MessageStore::rememberExecuted(MessageId id, ExecutedOutcome outcome) {
   const StoredMessage* message = live_.find(id);
   if (message == nullptr) return;
   auto mayHaveExecuted = [](const AttemptRecord& attempt) { return !attempt.provablyNotExecuted; };
   if (std::any_of(message->attempts.begin(), message->attempts.end(), mayHaveExecuted))
-    finished_.add(message->reference, outcome);
+    finished_.add(message->reference, {outcome, fingerprintOf(*message, names_)});
 }
 
 bool MessageStore::append(std::string bytes, UncommittedRecord record) {
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -18,6 +18,7 @@
 #include "storage/live_messages.h"
 #include "storage/record_codec.h"
 #include "storage/stored_message.h"
+#include "storage/submission_match.h"
 
 namespace stonewing {
 
@@ -52,6 +53,8 @@
   // a text that names the invalid argument.
   StoredMessage decode(std::string_view orderingKey, std::string_view reference, std::string_view fieldList,
                        std::string_view body, Millis receivedWall) const;
+  // Compares a decoded message with the one that is known under its reference. Does not change the store.
+  SubmissionMatch match(const StoredMessage& submitted) const;
   // Adds a message. Returns no value if the journal has no space for it. The message counts as accepted only
   // after a commit has written its record.
   std::optional<MessageId> accept(StoredMessage message);
@@ -107,10 +110,6 @@
   bool contains(std::string_view reference) const { return live_.contains(reference); }
   // The id of a message in flight, by its reference.
   MessageId idOf(const std::string& reference) const { return live_.idOf(reference); }
-  // How the message with this reference ended, if it may have been executed and is still remembered.
-  std::optional<ExecutedOutcome> finishedOutcomeOf(std::string_view reference) const {
-    return finished_.find(reference);
-  }
   const std::map<MessageId, StoredMessage>& inFlight() const { return live_.messages(); }
   const std::map<MessageId, OutcomeNotification>& pendingNotifications() const {
     return live_.notifications();
@@ -149,6 +148,8 @@
   void makeSpaceAndAppend(std::string bytes, UncommittedRecord record);
   bool makeSpace(std::size_t bytes);
   bool hasSpace(std::size_t bytes) const;
+  SubmissionMatch matchInFlight(MessageId id, const StoredMessage& submitted) const;
+  SubmissionMatch matchFinished(const FinishedMessage& finished, const StoredMessage& submitted) const;
   void finishMessage(MessageId id);
   void rememberExecuted(MessageId id, ExecutedOutcome outcome);
 
--- a/src/storage/record_codec.cpp
+++ b/src/storage/record_codec.cpp
@@ -6,11 +6,6 @@
 namespace stonewing {
 namespace {
 
-void putText(std::string& destination, std::string_view text) {
-  putBytes(destination, static_cast<std::uint32_t>(text.size()));
-  destination.append(text);
-}
-
 std::string getText(ByteReader& reader, const char* field) {
   auto length = reader.get<std::uint32_t>(field);
   return std::string(reader.text(length, field));
--- /dev/null
+++ b/src/storage/submission_match.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <optional>
+#include <variant>
+
+#include "base/ids.h"
+#include "storage/message_identity.h"
+#include "storage/stored_message.h"
+
+// What the message store knows of a submitted message, looked up by its reference.
+namespace stonewing {
+
+// How a message ended that may have been executed.
+enum class ExecutedOutcome { delivered, failed };
+
+// No message with this reference is known: it may be accepted.
+struct NewSubmission {};
+
+// The message was accepted before and is in flight.
+struct SameInFlight {
+  MessageId id{};
+};
+
+// The message was accepted before, has ended, and may have been executed.
+struct SameExecuted {
+  ExecutedOutcome outcome{};
+};
+
+// What became of a message that has the reference of a different one.
+enum class ReferenceHolder { inFlight, delivered, failed };
+
+// The name of a value, for the log.
+const char* nameOf(ReferenceHolder holder);
+
+// The reference belongs to a different message.
+struct ReferenceConflict {
+  ReferenceHolder holder{};
+  std::optional<MessagePart> difference{};  // no value if the parts of that message are not kept any more
+};
+
+using SubmissionMatch = std::variant<NewSubmission, SameInFlight, SameExecuted, ReferenceConflict>;
+
+}  // namespace stonewing
--- a/tests/dispatcher/restart_test.cpp
+++ b/tests/dispatcher/restart_test.cpp
@@ -145,7 +145,7 @@
     RecordProperty("cpu_s_" + std::to_string(messageCount), std::to_string(seconds));
     std::cout << messageCount << " in flight: " << seconds << " s of processor time until ready\n";
     EXPECT_LT(seconds, 4.0);  // under the sanitizers too
-    EXPECT_EQ(dispatcher.request(submitCommand("r7", "c=order,d=60000,dest=7")),
+    EXPECT_EQ(dispatcher.request(submitCommand("r7", "c=order,d=60000,dest=7", "x")),
               "+OK\r\n");  // recovered, and still in flight
     dispatcher.stop(SIGKILL);
   }
@@ -177,7 +177,7 @@
   }
   ASSERT_TRUE(dispatcher.start());
   for (const char* reference : {"r0", "r9999", "r19999"})
-    EXPECT_EQ(dispatcher.request(submitCommand(reference, "c=order,d=1,dest=7")), "+OK\r\n")
+    EXPECT_EQ(dispatcher.request(submitCommand(reference, "c=order,d=1,dest=7", "x")), "+OK\r\n")
         << reference;  // in flight with its first deadline
   std::this_thread::sleep_for(std::chrono::milliseconds(400));
   EXPECT_EQ(platform.requestsContaining("/reports"), 0u);
--- a/tests/storage/finished_references_test.cpp
+++ b/tests/storage/finished_references_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <string>
 
 namespace stonewing::testing {
@@ -12,20 +13,22 @@
   FinishedReferences references(kMaxBytes);
   for (int n = 0; n < 1000; ++n) {
     references.add("m-" + std::to_string(n),
-                   n % 2 == 0 ? ExecutedOutcome::delivered : ExecutedOutcome::failed);
+                   {n % 2 == 0 ? ExecutedOutcome::delivered : ExecutedOutcome::failed,
+                    {static_cast<std::uint64_t>(n), 0}});
     EXPECT_LE(references.memoryBytes(), kMaxBytes);
   }
-  EXPECT_EQ(references.find("m-998"), ExecutedOutcome::delivered);
-  EXPECT_EQ(references.find("m-999"), ExecutedOutcome::failed);
-  EXPECT_EQ(references.find("m-0"), std::nullopt);
+  EXPECT_EQ(references.find("m-998").value().outcome, ExecutedOutcome::delivered);
+  EXPECT_EQ(references.find("m-999").value().outcome, ExecutedOutcome::failed);
+  EXPECT_EQ(references.find("m-999").value().fingerprint, (MessageFingerprint{999, 0}));
+  EXPECT_FALSE(references.find("m-0").has_value());
 }
 
 TEST(FinishedReferences, CountsAReferenceOnceAndKeepsItsLatestOutcome) {
   FinishedReferences references(10'000);
-  references.add("m", ExecutedOutcome::failed);
+  references.add("m", {ExecutedOutcome::failed, {}});
   const std::size_t bytes = references.memoryBytes();
-  references.add("m", ExecutedOutcome::delivered);
-  EXPECT_EQ(references.find("m"), ExecutedOutcome::delivered);
+  references.add("m", {ExecutedOutcome::delivered, {}});
+  EXPECT_EQ(references.find("m").value().outcome, ExecutedOutcome::delivered);
   EXPECT_EQ(references.memoryBytes(), bytes);
 }
 
--- /dev/null
+++ b/tests/storage/submission_match_test.cpp
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "storage/message_store.h"
+#include "support/message_store_fixture.h"
+
+// What the message store answers for a reference that it knows, compared with the whole submissions that the
+// test has kept.
+namespace stonewing::testing {
+namespace {
+
+constexpr std::size_t kMaxBytes = 500000;
+
+struct Submitted {
+  std::string reference;
+  std::string orderingKey;
+  std::string fields;
+  std::string body;
+};
+
+StoredMessage decode(const MessageStore& store, const Submitted& submitted, int deadline = 500) {
+  return store.decode(submitted.orderingKey, submitted.reference,
+                      submitted.fields + ",d=" + std::to_string(deadline), submitted.body, 1000);
+}
+
+// Few values for each part, so that two messages often differ in one part alone.
+Submitted randomSubmission(const std::string& reference, std::mt19937& random) {
+  auto oneOf = [&](std::vector<std::string> values) { return values[random() % values.size()]; };
+  return {.reference = reference,
+          .orderingKey = oneOf({"0", "2a"}),
+          .fields =
+              oneOf({"c=order", "c=status"}) + oneOf({"", ",k=5c", ",k=5d"}) + oneOf({",dest=7", ",dest=8"}),
+          .body = oneOf({"", "lamp 7", "lamp 8", std::string(3000, 'b')})};
+}
+
+bool isSame(const Submitted& one, const Submitted& other) {
+  return one.orderingKey == other.orderingKey && one.fields == other.fields && one.body == other.body;
+}
+
+enum class Stage { inFlight, delivered, failed };
+constexpr unsigned kStages = 3;
+
+struct Accepted {
+  Submitted submitted;
+  MessageId id;
+  Stage stage{Stage::inFlight};
+};
+
+void endOne(MessageStore& store, Accepted& accepted, Stage stage) {
+  store.recordAttempt(accepted.id, 0, {"s-1", DestinationId{7}, {}, {}}, 1000);
+  if (stage == Stage::delivered) store.recordDelivered(accepted.id);
+  if (stage == Stage::failed) store.addPendingNotification(accepted.id, FinalOutcome::failed, 0);
+  accepted.stage = stage;
+}
+
+void expectSameMessage(const SubmissionMatch& match, const Accepted& accepted) {
+  if (accepted.stage == Stage::inFlight) {
+    ASSERT_TRUE(std::holds_alternative<SameInFlight>(match));
+    EXPECT_EQ(std::get<SameInFlight>(match).id, accepted.id);
+    return;
+  }
+  ASSERT_TRUE(std::holds_alternative<SameExecuted>(match));
+  const bool isDelivered = std::get<SameExecuted>(match).outcome == ExecutedOutcome::delivered;
+  EXPECT_EQ(isDelivered, accepted.stage == Stage::delivered);
+}
+
+void expectMatches(const MessageStore& store, const Accepted& accepted, const Submitted& submitted) {
+  const SubmissionMatch match = store.match(decode(store, submitted, 100));
+  if (isSame(submitted, accepted.submitted)) {
+    expectSameMessage(match, accepted);
+  } else {
+    ASSERT_TRUE(std::holds_alternative<ReferenceConflict>(match));
+  }
+}
+
+void expectMatchesEach(const MessageStore& store, const std::vector<Accepted>& all, std::mt19937& random) {
+  for (const Accepted& accepted : all) {
+    expectMatches(store, accepted, accepted.submitted);
+    expectMatches(store, accepted, randomSubmission(accepted.submitted.reference, random));
+  }
+}
+
+// Guards against a reference that stands for its message: another message was answered as the one in flight,
+// delivered or failed.
+TEST(SubmissionMatch, IsOfTheWholeMessageInEachStageAndAfterAKill) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    StoreFixture fixture(kMaxBytes);
+    fixture.store.restore();
+    std::vector<Accepted> all;
+    for (int number = 0; number < 60; ++number) {
+      Submitted submitted = randomSubmission("m-" + std::to_string(number), random);
+      auto id = fixture.store.accept(decode(fixture.store, submitted));
+      ASSERT_TRUE(id.has_value());
+      all.push_back({submitted, *id});
+    }
+    for (Accepted& accepted : all) {
+      const auto stage = static_cast<Stage>(random() % kStages);
+      if (stage != Stage::inFlight) endOne(fixture.store, accepted, stage);
+    }
+    fixture.store.commit();
+    expectMatchesEach(fixture.store, all, random);
+    MessageStore restored(fixture.names, fixture.directory.path.string(), kMaxBytes);
+    restored.restore();
+    expectMatchesEach(restored, all, random);
+  }
+}
+
+TEST(SubmissionMatch, IsNewForAReferenceThatIsUnknownOrWhoseMessageWasRevoked) {
+  StoreFixture fixture;
+  fixture.store.restore();
+  auto match = [&](const std::string& reference) {
+    return fixture.store.match(decode(fixture.store, {reference, "0", "c=order,dest=7", ""}));
+  };
+  EXPECT_TRUE(std::holds_alternative<NewSubmission>(match("unknown")));
+  fixture.store.recordRevoked(*fixture.accept("revoked"));
+  EXPECT_TRUE(std::holds_alternative<NewSubmission>(match("revoked")));
+}
+
+}  // namespace
+}  // namespace stonewing::testing
