Submissions: no message under the id of a shed one while its notification is pending

What callers saw: a message was shed, and the platform could not be notified yet. A message under the same id was accepted anew (+OK) and delivered, and then the platform was notified that this id was rejected: one id, two ends. Whoever hears of the second one submits the message again, and it runs twice.

Cause: an id was looked up among messages in flight and among those that had ended and may have been executed. Pending notifications were not looked at, though their id still has an end to come.

Now LiveMessages knows pending notifications by their reference. Under the id of a shed message the answer is -BUSY with the notification's time, to the same message and to a different one: that is its end, it was not executed where that matters, and submitting it under a new id is harmless. Telling the two apart is not needed, so that it holds after a compaction and with journals of earlier programs too. Under the id of a failed message that cannot be compared (the settings have changed since) the answer is -FAILED while its notification is pending: it may have been executed. Once a notification is confirmed its id is free as before.

The memory counted for a pending notification is 320 bytes, 256 before: its entry in the index.

--- a/src/dispatcher/command_handler.cpp
+++ b/src/dispatcher/command_handler.cpp
@@ -113,21 +113,23 @@
 // The reply to a message whose reference is known; no value if it may be accepted as a new message.
 std::optional<RespServer::CommandReply> CommandHandler::replyToKnownReference(const StoredMessage& message) {
   using Reply = std::optional<RespServer::CommandReply>;
-  return std::visit(Overloaded{
-                        [](const NewSubmission&) -> Reply { return std::nullopt; },
-                        // The client has submitted the message again because the first reply was lost.
-                        [&](const SameInFlight& same) -> Reply { return acceptRepeated(same.id); },
-                        [](const SameExecuted& same) -> Reply {
-                          return {{same.outcome == ExecutedOutcome::delivered ? kOkReply : kFailedReply}};
-                        },
-                        // Nothing tells which of the two clients uses an id that is not its own. Its message
-                        // was not accepted, and the client may submit it under a new id.
-                        [&](const ReferenceConflict& conflict) -> Reply {
-                          logConflict(message, conflict);
-                          return {{busyReply(kNoRetryAfter)}};
-                        },
-                    },
-                    store_.match(message));
+  const Overloaded reply{
+      [](const NewSubmission&) -> Reply { return std::nullopt; },
+      // The client has submitted the message again because the first reply was lost.
+      [&](const SameInFlight& same) -> Reply { return acceptRepeated(same.id); },
+      [](const SameExecuted& same) -> Reply {
+        return {{same.outcome == ExecutedOutcome::delivered ? kOkReply : kFailedReply}};
+      },
+      // The platform is yet to hear that the id was rejected, so no message is accepted under it.
+      [](const ShedUnconfirmed& shed) -> Reply { return {{busyReply(shed.retryAfter)}}; },
+      // Nothing tells which of the two clients uses an id that is not its own. Its message was not accepted,
+      // and the client may submit it under a new id.
+      [&](const ReferenceConflict& conflict) -> Reply {
+        logConflict(message, conflict);
+        return {{busyReply(kNoRetryAfter)}};
+      },
+  };
+  return std::visit(reply, store_.match(message));
 }
 
 void CommandHandler::logConflict(const StoredMessage& message, const ReferenceConflict& conflict) {
--- a/src/storage/live_messages.cpp
+++ b/src/storage/live_messages.cpp
@@ -18,7 +18,7 @@
 // attempts.
 constexpr std::size_t kMessageMemoryBytes = 2048;
 // The same of a pending notification.
-constexpr std::size_t kNotificationMemoryBytes = 256;
+constexpr std::size_t kNotificationMemoryBytes = 320;
 
 void appendMessage(std::string& frames, MessageId id, const StoredMessage& message) {
   frames += Journal::framed(encodeAccepted(id, message));
@@ -86,10 +86,26 @@
 }
 
 void LiveMessages::addNotification(MessageId id, OutcomeNotification notification) {
-  notifications_[id] = std::move(notification);
+  removeNotification(id);
+  const OutcomeNotification& added = notifications_.emplace(id, std::move(notification)).first->second;
+  notificationByReference_.erase(added.reference);  // its key may be the text of an earlier notification
+  notificationByReference_.emplace(added.reference, &added);
 }
 
-bool LiveMessages::removeNotification(MessageId id) { return notifications_.erase(id) > 0; }
+bool LiveMessages::removeNotification(MessageId id) {
+  auto entry = notifications_.find(id);
+  if (entry == notifications_.end()) return false;
+  auto indexed = notificationByReference_.find(entry->second.reference);
+  const bool isLatest = indexed != notificationByReference_.end() && indexed->second == &entry->second;
+  if (isLatest) notificationByReference_.erase(indexed);
+  notifications_.erase(entry);
+  return true;
+}
+
+const OutcomeNotification* LiveMessages::findNotification(std::string_view reference) const {
+  auto entry = notificationByReference_.find(reference);
+  return entry == notificationByReference_.end() ? nullptr : entry->second;
+}
 
 std::size_t LiveMessages::liveBytes() const {
   return messageBytes_ + notifications_.size() * kNotificationReserveBytes;
--- a/src/storage/live_messages.h
+++ b/src/storage/live_messages.h
@@ -31,6 +31,11 @@
 // journals each change; used on one thread.
 class LiveMessages {
  public:
+  LiveMessages() = default;
+  // Not copyable: an index points to the texts of the notifications.
+  LiveMessages(const LiveMessages&) = delete;
+  LiveMessages& operator=(const LiveMessages&) = delete;
+
   // The bytes that `message` adds to liveBytes(): its record, and a reserve for the records that may follow.
   static std::size_t bytesOf(const StoredMessage& message);
   // The memory that `message` occupies in the whole process while it is in flight, in bytes.
@@ -53,6 +58,9 @@
   void addNotification(MessageId id, OutcomeNotification notification);
   // Removes a pending notification. Returns false if there is none with this id.
   bool removeNotification(MessageId id);
+  // The latest pending notification of a message with this reference; null if there is none. The pointer
+  // stays valid until that notification is removed.
+  const OutcomeNotification* findNotification(std::string_view reference) const;
 
   // Both are ordered by id. References to elements stay valid until that element is removed.
   const std::map<MessageId, StoredMessage>& messages() const { return messages_; }
@@ -76,8 +84,10 @@
   std::map<MessageId, StoredMessage> messages_;
   std::map<MessageId, OutcomeNotification> notifications_;
   std::unordered_map<std::string, MessageId> byReference_;  // the ids of messages_
-  std::size_t messageBytes_{0};                             // sum of bytesOf() over messages_
-  std::size_t messageMemoryBytes_{0};                       // sum of memoryOf() over messages_
+  // The latest notification of each reference; the keys are texts of notifications_, which has stable nodes.
+  std::unordered_map<std::string_view, const OutcomeNotification*> notificationByReference_;
+  std::size_t messageBytes_{0};        // sum of bytesOf() over messages_
+  std::size_t messageMemoryBytes_{0};  // sum of memoryOf() over messages_
   // Only of clients with messages in flight, so that those that have left leave nothing behind.
   std::unordered_map<SubmitterId, SubmitterUsage> usageBySubmitter_;
 };
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -40,7 +40,11 @@
 SubmissionMatch MessageStore::match(const StoredMessage& submitted) const {
   if (live_.contains(submitted.reference)) return matchInFlight(live_.idOf(submitted.reference), submitted);
   if (const auto finished = finished_.find(submitted.reference)) return matchFinished(*finished, submitted);
-  return NewSubmission{};
+  const OutcomeNotification* notification = live_.findNotification(submitted.reference);
+  if (notification == nullptr) return NewSubmission{};
+  if (notification->result == FinalOutcome::shed) return ShedUnconfirmed{notification->retryAfter};
+  // What has failed and is not among finished_ cannot be compared. It may have been executed.
+  return SameExecuted{ExecutedOutcome::failed};
 }
 
 SubmissionMatch MessageStore::matchInFlight(MessageId id, const StoredMessage& submitted) const {
--- a/src/storage/submission_match.h
+++ b/src/storage/submission_match.h
@@ -26,6 +26,12 @@
   ExecutedOutcome outcome{};
 };
 
+// A message with this reference was shed, and the platform has not confirmed the notification. Whether it is
+// the same message makes no difference: submitting it under a new id is harmless.
+struct ShedUnconfirmed {
+  Millis retryAfter{};  // as in the notification; 0 if it advises no time
+};
+
 // What became of a message that has the reference of a different one.
 enum class ReferenceHolder { inFlight, delivered, failed };
 
@@ -38,6 +44,7 @@
   std::optional<MessagePart> difference{};  // no value if the parts of that message are not kept any more
 };
 
-using SubmissionMatch = std::variant<NewSubmission, SameInFlight, SameExecuted, ReferenceConflict>;
+using SubmissionMatch =
+    std::variant<NewSubmission, SameInFlight, SameExecuted, ShedUnconfirmed, ReferenceConflict>;
 
 }  // namespace stonewing
--- a/tests/dispatcher/submission_ids_test.cpp
+++ b/tests/dispatcher/submission_ids_test.cpp
@@ -181,6 +181,25 @@
   EXPECT_EQ(unresponsive.requestsContaining("killed"), 1u);
 }
 
+// Guards against two ends of one id: a message was accepted under the id of a shed one and delivered, and
+// then the platform was notified that the id was rejected.
+TEST_F(SubmissionIds, HaveOneEndWhileTheNotificationOfAShedMessageIsPending) {
+  isPlatformDown = true;
+  Submission first{.reference = "shed", .type = "status", .destination = "9", .deadlineAndMarks = "d=300"};
+  EXPECT_EQ(submit(first), kOk);
+  ASSERT_TRUE(eventually(3000, [&] { return platform.requestsContaining("\"shed\"") > 0; }));
+  for (const Submission& other : differingFrom(first)) EXPECT_TRUE(submit(other).starts_with("-BUSY"));
+  for (const Submission& repeat : repeatsOf(first)) EXPECT_TRUE(submit(repeat).starts_with("-BUSY"));
+  restartAfterKill();
+  for (const Submission& other : differingFrom(first)) EXPECT_TRUE(submit(other).starts_with("-BUSY"));
+  isPlatformDown = false;
+  // Submitting it again under a new id is harmless.
+  Submission anew{.reference = "anew", .type = "status", .deadlineAndMarks = "d=4000,r=1"};
+  EXPECT_EQ(submit(anew), kOk);
+  EXPECT_TRUE(isDeliveredOnce("anew"));
+  EXPECT_EQ(deliveriesOf("shed"), 0u);
+}
+
 // A client submits many messages at once, and another client takes the id of the last one before the
 // dispatcher has read so far. Guards against the loss of that last message: it was answered +OK and another
 // client's body was delivered under its id.
--- a/tests/storage/submission_match_test.cpp
+++ b/tests/storage/submission_match_test.cpp
@@ -41,8 +41,8 @@
   return one.orderingKey == other.orderingKey && one.fields == other.fields && one.body == other.body;
 }
 
-enum class Stage { inFlight, delivered, failed };
-constexpr unsigned kStages = 3;
+enum class Stage { inFlight, delivered, failed, shed };
+constexpr unsigned kStages = 4;
 
 struct Accepted {
   Submitted submitted;
@@ -51,9 +51,11 @@
 };
 
 void endOne(MessageStore& store, Accepted& accepted, Stage stage) {
-  store.recordAttempt(accepted.id, 0, {"s-1", DestinationId{7}, {}, {}}, 1000);
+  const bool mayHaveExecuted = stage == Stage::delivered || stage == Stage::failed;
+  if (mayHaveExecuted) store.recordAttempt(accepted.id, 0, {"s-1", DestinationId{7}, {}, {}}, 1000);
   if (stage == Stage::delivered) store.recordDelivered(accepted.id);
   if (stage == Stage::failed) store.addPendingNotification(accepted.id, FinalOutcome::failed, 0);
+  if (stage == Stage::shed) store.addPendingNotification(accepted.id, FinalOutcome::shed, 250);
   accepted.stage = stage;
 }
 
@@ -70,7 +72,10 @@
 
 void expectMatches(const MessageStore& store, const Accepted& accepted, const Submitted& submitted) {
   const SubmissionMatch match = store.match(decode(store, submitted, 100));
-  if (isSame(submitted, accepted.submitted)) {
+  if (accepted.stage == Stage::shed) {
+    ASSERT_TRUE(std::holds_alternative<ShedUnconfirmed>(match));
+    EXPECT_EQ(std::get<ShedUnconfirmed>(match).retryAfter, 250);
+  } else if (isSame(submitted, accepted.submitted)) {
     expectSameMessage(match, accepted);
   } else {
     ASSERT_TRUE(std::holds_alternative<ReferenceConflict>(match));
@@ -110,7 +115,7 @@
   }
 }
 
-TEST(SubmissionMatch, IsNewForAReferenceThatIsUnknownOrWhoseMessageWasRevoked) {
+TEST(SubmissionMatch, IsNewForAReferenceThatIsUnknownRevokedOrWhoseNotificationIsConfirmed) {
   StoreFixture fixture;
   fixture.store.restore();
   auto match = [&](const std::string& reference) {
@@ -119,6 +124,47 @@
   EXPECT_TRUE(std::holds_alternative<NewSubmission>(match("unknown")));
   fixture.store.recordRevoked(*fixture.accept("revoked"));
   EXPECT_TRUE(std::holds_alternative<NewSubmission>(match("revoked")));
+  MessageId shed = *fixture.accept("shed");
+  fixture.store.addPendingNotification(shed, FinalOutcome::shed, 0);
+  EXPECT_TRUE(std::holds_alternative<ShedUnconfirmed>(match("shed")));
+  fixture.store.confirmNotification(shed);
+  EXPECT_TRUE(std::holds_alternative<NewSubmission>(match("shed")));
+}
+
+// An earlier program accepted a message under the reference of one whose notification was pending.
+TEST(SubmissionMatch, IsOfTheLatestNotificationOfAReference) {
+  StoreFixture fixture;
+  fixture.store.restore();
+  MessageId first = *fixture.accept("twice");
+  fixture.store.addPendingNotification(first, FinalOutcome::shed, 100);
+  MessageId second = *fixture.accept("twice");
+  fixture.store.addPendingNotification(second, FinalOutcome::shed, 200);
+  fixture.store.commit();
+  MessageStore restored(fixture.names, fixture.directory.path.string(), kMaxBytes);
+  restored.restore();
+  auto match = [&] { return restored.match(decode(restored, {"twice", "0", "c=order,dest=7", ""})); };
+  restored.confirmNotification(first);
+  ASSERT_TRUE(std::holds_alternative<ShedUnconfirmed>(match()));
+  EXPECT_EQ(std::get<ShedUnconfirmed>(match()).retryAfter, 200);
+  restored.confirmNotification(second);
+  EXPECT_TRUE(std::holds_alternative<NewSubmission>(match()));
+}
+
+// The settings have changed, and the message of the journal cannot be compared with anything. It may have
+// been executed, so that neither +OK nor -BUSY would be true.
+TEST(SubmissionMatch, IsFailedForAMessageThatTheSettingsDoNotKnowAnyMore) {
+  StoreFixture fixture;
+  fixture.store.restore();
+  fixture.accept("undeliverable");
+  fixture.store.commit();
+  NameTables changed = fixture.names;
+  changed.trafficTypes = {"status"};
+  MessageStore restored(changed, fixture.directory.path.string(), kMaxBytes);
+  restored.restore();
+  const SubmissionMatch match =
+      restored.match(decode(restored, {"undeliverable", "0", "c=status,dest=7", ""}));
+  ASSERT_TRUE(std::holds_alternative<SameExecuted>(match));
+  EXPECT_EQ(std::get<SameExecuted>(match).outcome, ExecutedOutcome::failed);
 }
 
 }  // namespace
