Message store: ended messages are known after a compaction and a kill too

What callers saw: a message was delivered. The same message submitted again was accepted anew and sent again, whether it may be repeated or not. A different one under its id was accepted too, and then the honest repeat of the first was refused.

The memory of ended messages (FinishedReferences) did not outlive the process by itself.

Now a compaction ends with a record for each of the latest ended messages: reference, outcome and fingerprint (tag 6). All other records are as before, byte for byte.

Left: in a folder of 3 MB 93 KB are kept, some 1,800 messages with ids of 16 bytes; older ones are forgotten by a compaction and a kill as before.

--- a/src/storage/finished_references.cpp
+++ b/src/storage/finished_references.cpp
@@ -1,5 +1,10 @@
 #include "storage/finished_references.h"
 
+#include <vector>
+
+#include "storage/journal.h"
+#include "storage/record_codec.h"
+
 namespace stonewing {
 namespace {
 
@@ -31,4 +36,18 @@
   return entry->second;
 }
 
+std::string FinishedReferences::encodeLatest(std::size_t maxBytes) const {
+  std::vector<std::string> latestFirst;
+  std::size_t bytes = 0;
+  for (auto reference = order_.rbegin(); reference != order_.rend(); ++reference) {
+    std::string frame = Journal::framed(encodeExecuted({**reference, messages_.at(**reference)}));
+    bytes += frame.size();
+    if (bytes > maxBytes) break;
+    latestFirst.push_back(std::move(frame));
+  }
+  std::string frames;
+  for (auto frame = latestFirst.rbegin(); frame != latestFirst.rend(); ++frame) frames += *frame;
+  return frames;
+}
+
 }  // namespace stonewing
--- a/src/storage/finished_references.h
+++ b/src/storage/finished_references.h
@@ -7,17 +7,10 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "storage/message_identity.h"
 #include "storage/submission_match.h"
 
 namespace stonewing {
 
-// What is remembered of a message that has ended and may have been executed.
-struct FinishedMessage {
-  ExecutedOutcome outcome{};
-  MessageFingerprint fingerprint;
-};
-
 // The latest messages that have ended and may have been executed, by their references, so that a client that
 // submits one of them again does not have it executed twice. The oldest are forgotten first.
 class FinishedReferences {
@@ -28,6 +21,9 @@
   void add(const std::string& reference, const FinishedMessage& message);
   // No value if the reference is unknown, or was forgotten.
   std::optional<FinishedMessage> find(std::string_view reference) const;
+  // The records of the latest messages for Journal::appendToCompaction(), oldest first: as many as fit into
+  // `maxBytes`.
+  std::string encodeLatest(std::size_t maxBytes) const;
   // The memory that the references occupy, in bytes.
   std::size_t memoryBytes() const { return memoryBytes_; }
 
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -13,6 +13,11 @@
 // Approximate number of bytes that one step of a compaction writes. With larger steps, a commit would delay
 // the turn noticeably.
 constexpr std::size_t kCompactionChunkBytes = 64 * 1024;
+// Ended messages may take this part of the journal. It is less than a compaction has to free, so that they
+// cause none.
+constexpr std::size_t kFinishedReferenceDivisor = 32;
+// The most bytes of ended messages in a journal. They are written in one step.
+constexpr std::size_t kMaxFinishedReferenceBytes = 4 * kCompactionChunkBytes;
 // The timeout of one wait for a commit; the wait is repeated until the commit has ended.
 constexpr Millis kCommitWaitMs = 1000;
 
@@ -96,6 +101,7 @@
                    finishMessage(id);
                    live_.removeNotification(id);
                  },
+                 [&](ExecutedRecord&& executed) { finished_.add(executed.reference, executed.message); },
              },
              decodeRecordBody(record));
 }
@@ -341,12 +347,21 @@
     if (record.message >= compactedBelow_ && record.message < chunk.nextId) record.bytes.clear();
   }
   compactedBelow_ = chunk.nextId;
-  bool succeeded = journal_.appendToCompaction(chunk.frames);
   bool isComplete = chunk.remainder == CompactionChunk::Remainder::none && uncommitted_.empty();
+  if (isComplete) chunk.frames += encodeFinishedReferences(chunk.frames.size());
+  bool succeeded = journal_.appendToCompaction(chunk.frames);
   if (succeeded && isComplete) succeeded = journal_.installCompaction();
   if (!succeeded) recordCompactionFailure();
 }
 
+// The records of the ended messages that the compacted file has space for beside `pendingBytes` that are yet
+// to be appended to it. What is in flight comes first: without space, ended messages are left out.
+std::string MessageStore::encodeFinishedReferences(std::size_t pendingBytes) const {
+  const std::size_t maxBytes =
+      std::min(journal_.maxBytes() / kFinishedReferenceDivisor, kMaxFinishedReferenceBytes);
+  return hasSpace(pendingBytes + maxBytes) ? finished_.encodeLatest(maxBytes) : std::string();
+}
+
 // Compacts the whole journal at once, since there is no space for an incremental compaction. The recorded
 // changes are committed first: the compacted file can be installed only while no record is collected.
 void MessageStore::compactNow() {
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -161,6 +161,7 @@
 
   void beginCompaction();
   void continueCompaction();
+  std::string encodeFinishedReferences(std::size_t pendingBytes) const;
   void compactNow();
   void recordCompactionFailure();
 
--- a/src/storage/record_codec.cpp
+++ b/src/storage/record_codec.cpp
@@ -55,6 +55,15 @@
   return record;
 }
 
+ExecutedRecord readExecuted(ByteReader& reader) {
+  ExecutedRecord record;
+  record.reference = getText(reader, "ref");
+  record.message.outcome = reader.get<ExecutedOutcome>("outcome");
+  record.message.fingerprint.low = reader.get<std::uint64_t>("fingerprint, low half");
+  record.message.fingerprint.high = reader.get<std::uint64_t>("fingerprint, high half");
+  return record;
+}
+
 }  // namespace
 
 RecordHeader decodeRecordHeader(std::string_view record) {
@@ -75,8 +84,10 @@
       return readNotificationPending(reader);
     case RecordTag::finished:
       return FinishedRecord{};
+    case RecordTag::executed:
+      return readExecuted(reader);
   }
-  throw JournalError("unknown record tag: expected 1 to 5");
+  throw JournalError("unknown record tag: expected 1 to 6");
 }
 
 std::string encodeAcceptedFields(std::string_view orderingKey, std::string_view reference,
@@ -130,4 +141,14 @@
 
 std::string encodeFinished(MessageId id) { return encodeHeader(RecordTag::finished, id); }
 
+std::string encodeExecuted(const ExecutedRecord& executed) {
+  constexpr MessageId kNoMessage{0};
+  std::string record = encodeHeader(RecordTag::executed, kNoMessage);
+  putText(record, executed.reference);
+  putBytes(record, executed.message.outcome);
+  putBytes(record, executed.message.fingerprint.low);
+  putBytes(record, executed.message.fingerprint.high);
+  return record;
+}
+
 }  // namespace stonewing
--- a/src/storage/record_codec.h
+++ b/src/storage/record_codec.h
@@ -8,6 +8,7 @@
 
 #include "base/ids.h"
 #include "storage/stored_message.h"
+#include "storage/submission_match.h"
 
 // The records of the message store in the journal: one type for each tag, with its encoding and decoding. A
 // record begins with its tag (8 bits) and the message's id (32 bits). Numbers are packed and little-endian,
@@ -20,7 +21,8 @@
   attempted = 2,
   notExecuted = 3,
   notificationPending = 4,
-  finished = 5
+  finished = 5,
+  executed = 6
 };
 
 // The header with which each record begins.
@@ -58,8 +60,15 @@
 // A message is finished, and nothing is left to do for it.
 struct FinishedRecord {};
 
+// A message has ended and may have been executed, and its other records are gone. Only compacted journals
+// have this record. Its header names no message.
+struct ExecutedRecord {
+  std::string reference;
+  FinishedMessage message;
+};
+
 using RecordBody = std::variant<AcceptedRecord, AttemptedRecord, NotExecutedRecord, NotificationPendingRecord,
-                                FinishedRecord>;
+                                FinishedRecord, ExecutedRecord>;
 
 // Throws ParseError if the record is shorter than a header.
 RecordHeader decodeRecordHeader(std::string_view record);
@@ -77,5 +86,6 @@
 std::string encodeNotExecuted(MessageId id, NotExecutedRecord record);
 std::string encodeNotificationPending(MessageId id, const OutcomeNotification& notification);
 std::string encodeFinished(MessageId id);
+std::string encodeExecuted(const ExecutedRecord& record);
 
 }  // namespace stonewing
--- a/src/storage/submission_match.h
+++ b/src/storage/submission_match.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <variant>
 
@@ -10,8 +11,14 @@
 // What the message store knows of a submitted message, looked up by its reference.
 namespace stonewing {
 
-// How a message ended that may have been executed.
-enum class ExecutedOutcome { delivered, failed };
+// How a message ended that may have been executed. The values are part of stored journals.
+enum class ExecutedOutcome : std::uint8_t { delivered = 1, failed = 2 };
+
+// What is remembered of a message that has ended and may have been executed.
+struct FinishedMessage {
+  ExecutedOutcome outcome{};
+  MessageFingerprint fingerprint;
+};
 
 // No message with this reference is known: it may be accepted.
 struct NewSubmission {};
--- a/tests/dispatcher/submission_ids_test.cpp
+++ b/tests/dispatcher/submission_ids_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <filesystem>
 #include <string>
 #include <thread>
 #include <vector>
@@ -163,6 +164,31 @@
   }
 }
 
+// Guards against a second execution of a message whose acceptance was read and delivery was journaled, after
+// a compaction of the journal and a kill.
+TEST_F(SubmissionIds, AreKnownAfterACompactionAndAKill) {
+  constexpr int kOthers = 700;  // more than the journal holds
+  DispatcherProcess compacting{kSettings, endpointList(endpoint), platform.address(),
+                               R"({"sockets":256,"disk_mb":1})"};
+  ASSERT_TRUE(compacting.start());
+  Submission first{.reference = "done", .type = "order"};
+  EXPECT_EQ(compacting.request(first.command()), kOk);
+  ASSERT_TRUE(isDeliveredOnce("done"));
+  std::this_thread::sleep_for(kTimeToJournal);
+  for (int number = 0; number < kOthers; ++number) {
+    Submission other{.reference = "other-" + std::to_string(number), .body = std::string(2000, 'b')};
+    ASSERT_EQ(compacting.request(other.command()), kOk) << number;
+  }
+  ASSERT_LT(std::filesystem::file_size(compacting.directory() / "journal"), 1'000'000u);
+  EXPECT_EQ(compacting.stop(SIGKILL), -SIGKILL);
+  ASSERT_TRUE(compacting.start());
+  for (const Submission& other : differingFrom(first))
+    EXPECT_EQ(compacting.request(other.command()), kBusy) << other.command();
+  for (const Submission& repeat : repeatsOf(first))
+    EXPECT_EQ(compacting.request(repeat.command()), kOk) << repeat.command();
+  EXPECT_EQ(deliveriesOf("done"), 1u);
+}
+
 // Guards against -FAILED for a message that was never sent: its client would not dare to submit it again.
 TEST_F(SubmissionIds, AreNotTakenOverFromAMessageThatMayHaveBeenExecuted) {
   isPlatformDown = true;
--- a/tests/storage/finished_references_test.cpp
+++ b/tests/storage/finished_references_test.cpp
@@ -32,5 +32,16 @@
   EXPECT_EQ(references.memoryBytes(), bytes);
 }
 
+TEST(FinishedReferences, EncodesTheLatestThatFitOldestFirst) {
+  FinishedReferences references(10'000);
+  for (const char* reference : {"a", "b", "c"}) references.add(reference, {ExecutedOutcome::delivered, {}});
+  const std::string all = references.encodeLatest(10'000);
+  const std::size_t oneBytes = all.size() / 3;
+  EXPECT_EQ(references.encodeLatest(3 * oneBytes), all);
+  EXPECT_EQ(references.encodeLatest(3 * oneBytes - 1), all.substr(oneBytes));
+  EXPECT_EQ(references.encodeLatest(oneBytes), all.substr(2 * oneBytes));
+  EXPECT_EQ(references.encodeLatest(oneBytes - 1), "");
+}
+
 }  // namespace
 }  // namespace stonewing::testing
--- a/tests/storage/journal_compatibility_test.cpp
+++ b/tests/storage/journal_compatibility_test.cpp
@@ -7,9 +7,12 @@
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "settings/settings_reader.h"
+#include "storage/message_identity.h"
 #include "storage/message_store.h"
+#include "storage/record_codec.h"
 #include "support/temporary_directory.h"
 
 // Journals that the program of commit 4dcfc7e wrote must be read by the present program, so that an upgraded
@@ -222,5 +225,29 @@
   EXPECT_EQ(readFile(directory.path / "journal"), bytesOf(kVersionTwoHex));
 }
 
+// Later programs must be able to read what compacted journals of this one hold of ended messages.
+TEST(JournalFormat, HasTheBytesOfAnExecutedMessage) {
+  const std::string bytes = bytesOf(
+      "06000000000600000064652d31233701080706050403020118171615141312"
+      "11");
+  const ExecutedRecord record{"de-1#7",
+                              {ExecutedOutcome::delivered, {0x0102030405060708, 0x1112131415161718}}};
+  EXPECT_EQ(encodeExecuted(record), bytes);
+  const auto decoded = std::get<ExecutedRecord>(decodeRecordBody(bytes));
+  EXPECT_EQ(decoded.reference, record.reference);
+  EXPECT_EQ(decoded.message.outcome, record.message.outcome);
+  EXPECT_EQ(decoded.message.fingerprint, record.message.fingerprint);
+}
+
+// The fingerprint of a stored message must not depend on the program that computes it.
+TEST(JournalFormat, HasTheFingerprintOfAMessage) {
+  NameTables names = readNameTables(kSettings);
+  TemporaryDirectory directory;
+  MessageStore store(names, directory.path.string(), kMaxBytes);
+  const StoredMessage message = store.decode("2a", "any", "c=order,t=west,d=8000,k=5c0f,dest=7",
+                                             std::string("lamp 7\r\n\0\xff", 10), 0);
+  EXPECT_EQ(fingerprintOf(message, names), (MessageFingerprint{0xd8a90461572e6296, 0x6a39e4701322ef4e}));
+}
+
 }  // namespace
 }  // namespace stonewing::testing
--- a/tests/storage/message_store_test.cpp
+++ b/tests/storage/message_store_test.cpp
@@ -96,6 +96,33 @@
 
 // Only a part of the records of one turn fits. An attempt without a record must not be sent. Its number must
 // not make another attempt, which may have been executed, count as provably not executed.
+// How many messages of 100 bytes the store accepts until its journal is full.
+int acceptUntilFull(StoreFixture& fixture) {
+  int accepted = 0;
+  while (fixture.accept("fills-" + std::to_string(accepted))) {
+    ++accepted;
+    fixture.store.commit();
+  }
+  return accepted;
+}
+
+// What is remembered of ended messages must not take the space of messages in flight.
+TEST(MessageStore, AcceptsAsManyMessagesWithEndedOnesInItsJournal) {
+  constexpr std::size_t kMaxBytes = 200'000;
+  StoreFixture fresh(kMaxBytes);
+  fresh.store.restore();
+  StoreFixture used(kMaxBytes);
+  used.store.restore();
+  for (int n = 0; n < 3000; ++n) {
+    auto id = used.accept("ended-" + std::to_string(n));
+    ASSERT_TRUE(id.has_value());
+    used.store.recordAttempt(*id, 0, {"s-1", DestinationId{7}, {}, {}}, 1000);
+    used.store.recordDelivered(*id);
+    used.store.commit();
+  }
+  EXPECT_EQ(acceptUntilFull(used), acceptUntilFull(fresh));
+}
+
 TEST(MessageStore, KeepsTheRecordsOfACommitThatFitAndNumbersAttemptsByThem) {
   StoreFixture fixture;
   fixture.store.restore();
--- a/tests/storage/submission_match_test.cpp
+++ b/tests/storage/submission_match_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <filesystem>
 #include <random>
 #include <string>
 #include <variant>
@@ -115,6 +116,43 @@
   }
 }
 
+// Accepts and delivers other messages until the journal has been compacted. Returns whether it was.
+bool deliverUntilCompacted(StoreFixture& fixture) {
+  const auto journal = fixture.directory.path / "journal";
+  for (int number = 0; number < 2000; ++number) {
+    const std::size_t sizeBefore = std::filesystem::file_size(journal);
+    auto id = fixture.accept("other-" + std::to_string(number), 2000);
+    if (!id) return false;
+    fixture.store.recordDelivered(*id);
+    fixture.store.commit();
+    if (std::filesystem::file_size(journal) < sizeBefore) return true;
+  }
+  return false;
+}
+
+// Guards against a compaction that forgets which messages have ended: after it and a kill, the same message
+// was accepted anew and executed a second time.
+TEST(SubmissionMatch, IsOfTheWholeMessageAfterACompactionAndAKill) {
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    std::mt19937 random(seed);
+    StoreFixture fixture(kMaxBytes);
+    fixture.store.restore();
+    std::vector<Accepted> all;
+    for (int number = 0; number < 60; ++number) {
+      Submitted submitted = randomSubmission("m-" + std::to_string(number), random);
+      auto id = fixture.store.accept(decode(fixture.store, submitted));
+      ASSERT_TRUE(id.has_value());
+      all.push_back({submitted, *id});
+      endOne(fixture.store, all.back(), static_cast<Stage>(1 + random() % (kStages - 1)));
+    }
+    ASSERT_TRUE(deliverUntilCompacted(fixture));
+    expectMatchesEach(fixture.store, all, random);
+    MessageStore restored(fixture.names, fixture.directory.path.string(), kMaxBytes);
+    restored.restore();
+    expectMatchesEach(restored, all, random);
+  }
+}
+
 TEST(SubmissionMatch, IsNewForAReferenceThatIsUnknownRevokedOrWhoseNotificationIsConfirmed) {
   StoreFixture fixture;
   fixture.store.restore();
