Storage: one look-up of a message in flight by its reference

LiveMessages had contains() and an idOf() that threw; now idOf() returns no value for an unknown reference, and match() asks once. AttemptSender::hasSentAttempt() went from the message to its id by way of the reference; it is given the id.

--- a/src/delivery/attempt_sender.cpp
+++ b/src/delivery/attempt_sender.cpp
@@ -118,15 +118,14 @@
   }
   auto hasBegun = [](const EndpointConnection* connection) { return connection->isBusy(); };
   if (std::any_of(connections.begin(), connections.end(), hasBegun)) return false;
-  if (hasSentAttempt(*stored)) return false;
+  if (hasSentAttempt(message, *stored)) return false;
   for (EndpointConnection* connection : connections) cancelUnsentOn(*connection, message);
   return true;
 }
 
 // Whether a request of the message was sent that may have been executed. The attempts whose requests wait on
 // a connection are not among them.
-bool AttemptSender::hasSentAttempt(const StoredMessage& message) const {
-  const MessageId id = store_.idOf(message.reference);
+bool AttemptSender::hasSentAttempt(MessageId id, const StoredMessage& message) const {
   return std::any_of(message.attempts.begin(), message.attempts.end(), [&](const AttemptRecord& attempt) {
     return !attempt.provablyNotExecuted && !connectionOfAttempt_.contains({id, attempt.number});
   });
--- a/src/delivery/attempt_sender.h
+++ b/src/delivery/attempt_sender.h
@@ -88,7 +88,7 @@
 
   void assignConnection(Batch batch);
   bool prepareRequest(EndpointConnection& connection);
-  bool hasSentAttempt(const StoredMessage& message) const;
+  bool hasSentAttempt(MessageId id, const StoredMessage& message) const;
   void cancelUnsentOn(EndpointConnection& connection, MessageId message);
   void sendRequest(EndpointConnection& connection);
   void abandonUnusable(EndpointConnection& connection);
--- a/src/storage/live_messages.cpp
+++ b/src/storage/live_messages.cpp
@@ -81,8 +81,10 @@
   return entry == messages_.end() ? nullptr : &entry->second;
 }
 
-bool LiveMessages::contains(std::string_view reference) const {
-  return byReference_.contains(std::string(reference));
+std::optional<MessageId> LiveMessages::idOf(std::string_view reference) const {
+  auto entry = byReference_.find(std::string(reference));
+  if (entry == byReference_.end()) return std::nullopt;
+  return entry->second;
 }
 
 void LiveMessages::addNotification(MessageId id, OutcomeNotification notification) {
--- a/src/storage/live_messages.h
+++ b/src/storage/live_messages.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -49,10 +50,8 @@
   // if other messages are added or removed: the container has stable nodes.
   StoredMessage* find(MessageId id);
   const StoredMessage* find(MessageId id) const;
-  // Whether a message with this reference is in flight.
-  bool contains(std::string_view reference) const;
-  // The id of a message in flight; throws std::out_of_range for any other reference.
-  MessageId idOf(const std::string& reference) const { return byReference_.at(reference); }
+  // The id of the message in flight with this reference; no value if there is none.
+  std::optional<MessageId> idOf(std::string_view reference) const;
 
   // Adds a pending notification, or replaces the existing one with this id.
   void addNotification(MessageId id, OutcomeNotification notification);
--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -43,7 +43,7 @@
 }
 
 SubmissionMatch MessageStore::match(const StoredMessage& submitted) const {
-  if (live_.contains(submitted.reference)) return matchInFlight(live_.idOf(submitted.reference), submitted);
+  if (const auto id = live_.idOf(submitted.reference)) return matchInFlight(*id, submitted);
   if (const auto finished = finished_.find(submitted.reference)) return matchFinished(*finished, submitted);
   const OutcomeNotification* notification = live_.findNotification(submitted.reference);
   if (notification == nullptr) return NewSubmission{};
--- a/src/storage/message_store.h
+++ b/src/storage/message_store.h
@@ -107,9 +107,9 @@
   // commit.
   const StoredMessage* find(MessageId id) const { return live_.find(id); }
   // Whether a message with this reference is in flight.
-  bool contains(std::string_view reference) const { return live_.contains(reference); }
-  // The id of a message in flight, by its reference.
-  MessageId idOf(const std::string& reference) const { return live_.idOf(reference); }
+  bool contains(std::string_view reference) const { return idOf(reference).has_value(); }
+  // The id of the message in flight with this reference; no value if there is none.
+  std::optional<MessageId> idOf(std::string_view reference) const { return live_.idOf(reference); }
   const std::map<MessageId, StoredMessage>& inFlight() const { return live_.messages(); }
   const std::map<MessageId, OutcomeNotification>& pendingNotifications() const {
     return live_.notifications();
--- a/tests/support/attempt_sender_harness.h
+++ b/tests/support/attempt_sender_harness.h
@@ -221,7 +221,7 @@
     std::filesystem::copy(directory.path / "journal", copy.path / "journal");
     MessageStore restored(names, copy.path.string(), maxJournalBytes);
     restored.restore();
-    return restored.find(restored.idOf(reference))->attempts;
+    return restored.find(restored.idOf(reference).value())->attempts;
   }
 
   // Whether the first attempt of a message is pending.
