--- a/src/storage/message_store.cpp
+++ b/src/storage/message_store.cpp
@@ -16,6 +16,8 @@
 // Ended messages may take this part of the journal. It is less than a compaction has to free, so that they
 // cause none.
 constexpr std::size_t kFinishedReferenceDivisor = 32;
+// They must leave this part of the journal free for records of messages in flight.
+constexpr std::size_t kFreeAfterCompactionDivisor = 8;
 // The most bytes of ended messages in a journal. They are written in one step.
 constexpr std::size_t kMaxFinishedReferenceBytes = 4 * kCompactionChunkBytes;
 // The timeout of one wait for a commit; the wait is repeated until the commit has ended.
@@ -354,12 +356,20 @@
   if (!succeeded) recordCompactionFailure();
 }
 
-// The records of the ended messages that the compacted file has space for beside `pendingBytes` that are yet
-// to be appended to it. What is in flight comes first: without space, ended messages are left out.
+// The records of the latest ended messages that the compacted file has space for, beside `pendingBytes` that
+// are yet to be appended to it. Messages in flight come first: if these need most of the journal, ended ones
+// are left out.
 std::string MessageStore::encodeFinishedReferences(std::size_t pendingBytes) const {
-  const std::size_t maxBytes =
-      std::min(journal_.maxBytes() / kFinishedReferenceDivisor, kMaxFinishedReferenceBytes);
-  return hasSpace(pendingBytes + maxBytes) ? finished_.encodeLatest(maxBytes) : std::string();
+  const std::size_t compactedBytes = journal_.compactedSize() + pendingBytes;
+  const std::size_t bytesBesideJournal = journal_.size() + compactedBytes;
+  const std::size_t bytesInUseAfterwards =
+      compactedBytes + live_.liveBytes() + journal_.maxBytes() / kFreeAfterCompactionDivisor;
+  auto bytesLeft = [this](std::size_t used) {
+    return journal_.maxBytes() - std::min(used, journal_.maxBytes());
+  };
+  return finished_.encodeLatest(
+      std::min({journal_.maxBytes() / kFinishedReferenceDivisor, kMaxFinishedReferenceBytes,
+                bytesLeft(bytesBesideJournal), bytesLeft(bytesInUseAfterwards)}));
 }
 
 // Compacts the whole journal at once, since there is no space for an incremental compaction. The recorded
--- a/tests/storage/submission_match_test.cpp
+++ b/tests/storage/submission_match_test.cpp
@@ -153,6 +153,35 @@
   }
 }
 
+// Guards against a compaction that leaves out ended messages as soon as the journal has no space for them
+// beside all that may be recorded of those in flight: an ended message was accepted anew after a kill.
+TEST(SubmissionMatch, IsOfAnEndedMessageAfterACompactionWithManyInFlight) {
+  constexpr std::size_t kInFlight = 60;  // with their reserve, a third of the journal
+  constexpr int kOthers = 300;
+  StoreFixture fixture(kMaxBytes);
+  fixture.store.restore();
+  Accepted ended{.submitted = {"ended", "0", "c=order,dest=7", "lamp 7"}, .id = {}};
+  ended.id = *fixture.store.accept(decode(fixture.store, ended.submitted));
+  endOne(fixture.store, ended, Stage::delivered);
+  std::size_t written = 0;
+  for (int number = 0; number < kOthers; ++number) {
+    ASSERT_TRUE(fixture.accept("other-" + std::to_string(number), 2000).has_value());
+    written += 2000;
+    const auto& inFlight = fixture.store.inFlight();
+    if (inFlight.size() > kInFlight) {
+      const MessageId oldest = inFlight.begin()->first;
+      fixture.store.recordAttempt(oldest, 0, {"s-1", DestinationId{7}, {}, {}}, 1000);
+      fixture.store.recordDelivered(oldest);
+    }
+    fixture.store.commit();
+  }
+  ASSERT_LT(std::filesystem::file_size(fixture.directory.path / "journal"), written);
+  MessageStore restored(fixture.names, fixture.directory.path.string(), kMaxBytes);
+  restored.restore();
+  expectMatches(restored, ended, ended.submitted);
+  expectMatches(restored, ended, {"ended", "0", "c=order,dest=7", "lamp 8"});
+}
+
 TEST(SubmissionMatch, IsNewForAReferenceThatIsUnknownRevokedOrWhoseNotificationIsConfirmed) {
   StoreFixture fixture;
   fixture.store.restore();
