--- a/src/storage/finished_references.cpp
+++ b/src/storage/finished_references.cpp
@@ -1,5 +1,7 @@
 #include "storage/finished_references.h"
 
+#include <ranges>
+#include <utility>
 #include <vector>
 
 #include "storage/journal.h"
@@ -39,14 +41,14 @@
 std::string FinishedReferences::encodeLatest(std::size_t maxBytes) const {
   std::vector<std::string> latestFirst;
   std::size_t bytes = 0;
-  for (auto reference = order_.rbegin(); reference != order_.rend(); ++reference) {
-    std::string frame = Journal::framed(encodeExecuted({**reference, messages_.at(**reference)}));
+  for (const std::string* reference : std::views::reverse(order_)) {
+    std::string frame = Journal::framed(encodeExecuted({*reference, messages_.at(*reference)}));
     bytes += frame.size();
     if (bytes > maxBytes) break;
     latestFirst.push_back(std::move(frame));
   }
   std::string frames;
-  for (auto frame = latestFirst.rbegin(); frame != latestFirst.rend(); ++frame) frames += *frame;
+  for (const std::string& frame : std::views::reverse(latestFirst)) frames += frame;
   return frames;
 }
 
